--- /dev/null
+++ b/lemonhall/adapter.py
@@ -0,0 +1,76 @@
+"""Hosts one decision module for each front and speaks the wire on standard input and output."""
+
+from __future__ import annotations
+
+import sys
+import traceback
+from typing import BinaryIO
+
+from lemonhall import wire
+from lemonhall.decide import Front
+from lemonhall.interface import Action, Event
+
+
+def read_frame(source: BinaryIO) -> bytes | None:
+    header = source.read(wire.HEADER.size)
+    if not header:
+        return None
+    if len(header) < wire.HEADER.size:
+        raise wire.WireError(f"input ends within a frame header, after {len(header)} bytes")
+    length = wire.frame_length(header)
+    body = source.read(length - len(header))
+    if len(header) + len(body) < length:
+        raise wire.WireError(
+            f"input ends within a frame: {len(header) + len(body)} of {length} bytes"
+        )
+    return header + body
+
+
+class Host:
+    """The instances of this process and the server lists they refer to."""
+
+    def __init__(self) -> None:
+        self.fronts: dict[int, Front] = {}
+        self.banks: dict[int, tuple[wire.i.Server, ...]] = {}
+
+    def answer(self, frame: bytes) -> bytes:
+        batch = wire.decode_batch(frame, self.banks)
+        pending: dict[int, list[Event]] = {}
+        actions: list[tuple[int, Action | wire.Bug]] = []
+        for instance, event in batch.events:
+            if isinstance(event, wire.Born):
+                pending[instance] = []
+                self.fronts[instance] = Front(event.settings, event.seed)
+            elif isinstance(event, wire.Retired):
+                pending.pop(instance, None)
+                self.fronts.pop(instance, None)
+            elif instance in self.fronts:
+                pending.setdefault(instance, []).append(event)
+            else:
+                raise wire.WireError(f"batch {batch.number}: no instance {instance} was started")
+        for instance, events in pending.items():
+            try:
+                made = self.fronts[instance].handle(batch.now, events)
+            except Exception as error:
+                traceback.print_exc()
+                actions.append((instance, wire.Bug(f"{type(error).__name__}: {error}")))
+            else:
+                actions.extend((instance, action) for action in made)
+        return wire.encode_reply(batch.number, actions)
+
+
+def main() -> int:
+    source, sink = sys.stdin.buffer, sys.stdout.buffer
+    host = Host()
+    try:
+        while (frame := read_frame(source)) is not None:
+            sink.write(host.answer(frame))
+            sink.flush()
+    except wire.WireError as error:
+        print(f"lemonhall.adapter: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lemonhall/interface.py
@@ -0,0 +1,303 @@
+"""The interface of the decision module: settings, events and actions.
+
+Times are milliseconds, rates kB a second. Nothing here decides anything.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+
+class Repeat(Enum):
+    """What a second set-up of one session does."""
+
+    SAFE = "safe"  # nothing
+    KEYED = "keyed"  # nothing, within a group of servers and a window
+    PAID = "paid"  # harm: it is paid for at set-up
+
+
+class Outcome(IntEnum):
+    """How an attempt ended."""
+
+    OK = 200
+    MOOT = 410
+    CANCELLED = 499
+    ERROR = 500
+    CONNECT_FAILED = 502
+    FULL = 503
+    TIMEOUT = 504
+    RESET = 598
+
+
+class ServerState(IntEnum):
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class ListKind(IntEnum):
+    FULL = 0
+    FAILED = 1
+    CACHED = 2
+    CHANGES = 4
+
+
+class NoteKind(IntEnum):
+    SHARE = 1  # share of the rate delivered at the server
+    RUNG = 2
+    LINK = 3  # asked of the server's link over what it gives
+    UPLINK = 4  # the same of its rack's uplink
+
+
+@dataclass(frozen=True)
+class SessionClass:
+    worth: float
+    repeat: Repeat
+    aim_ms: float
+    deadline_ms: float
+    keyed_group: str = "all"
+    keyed_window_ms: float = 0.0
+    floor: int = 0
+    top: int = 99
+    scale: float = 1.0  # its rates over the ladder's
+    seats: int = 0  # sessions of one title that a front may hold; 0: no cap
+
+
+@dataclass(frozen=True)
+class Tenant:
+    quota_per_s: float  # over all fronts; 0: not told
+
+
+@dataclass(frozen=True)
+class Settings:
+    classes: tuple[SessionClass, ...]
+    ladder_kb: tuple[float, ...]  # rate of each rung
+    ladder_worth: tuple[float, ...]  # what each rung earns of the class's worth
+    places_by_kind: tuple[int, ...]  # streams that a server of the kind runs at most
+    link_kb_per_weight: float
+    cells: int
+    fronts: int = 1
+    index: int = 0
+    zone: int = 0
+    racks: int = 0  # 0: no racks told
+    uplink_kb: float = 0.0  # mean uplink of a rack; 0: not told
+    links_kb: float = 0.0  # all links together; 0: not told
+    weights_tell_size: bool = False
+    tenants: tuple[Tenant, ...] = ()
+    over_share_worth: float = 1.0
+    full_from: float = 0.0  # a server turns set-ups away at this link use; 0: never
+    told_late_ms: float = 1000.0
+    reports_every_ms: float = 0.0  # 0: no notes of link use while playing
+    report_fields: tuple[str, ...] = ()
+    stall_cost: float = 0.0
+    switch_cost_s: float = 0.0
+    move_cost: float = 0.0
+    may_probe: bool = False
+    may_tell_peers: bool = False
+    subscribes: bool = False  # the list must be asked for
+    pause_advice: bool = True
+    max_pause_ms: float = 0.0
+    max_attempts: int = 1
+    connect_timeout_ms: float = 250.0
+    cold_from: float = 1.0
+    warm_within_ms: float = 0.0
+    overload_factor: float = 1.0
+    tip_after_ms: float = 0.0
+    retry_free: float | None = None  # None: further attempts are not rationed
+    retry_share: float = 0.0
+    retry_span_ms: float = 0.0
+
+
+@dataclass(frozen=True)
+class Server:
+    id: int
+    kind: int
+    weight: float
+    zone: int
+    cell: int
+    ready_at: float  # 0: long ago
+    state: ServerState
+
+
+# Events
+
+
+@dataclass(frozen=True)
+class ServerList:
+    kind: ListKind
+    version: int
+    servers: tuple[Server, ...]
+
+
+@dataclass(frozen=True)
+class NewSession:
+    id: int
+    cls: int
+    viewer: int
+    title: int
+    left_ms: float
+    top: int  # the viewer's best rung
+    first_cell: int
+    cells: int
+    tenant: int = 0
+    length_ms: float = 0.0  # rough; 0: not told
+    moved: bool = False
+    again: bool = False
+
+
+@dataclass(frozen=True)
+class HandedOver:
+    session: NewSession
+    server: int
+
+
+@dataclass(frozen=True)
+class Playing:
+    id: int
+    attempt: int
+    server: int
+    took_ms: float
+
+
+@dataclass(frozen=True)
+class Note:
+    id: int
+    attempt: int
+    server: int
+    kind: int
+    value: float
+
+
+@dataclass(frozen=True)
+class AttemptEnded:
+    id: int
+    attempt: int
+    server: int
+    outcome: int
+    closed: bool
+    took_ms: float
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True)
+class ViewerGone:
+    id: int
+
+
+@dataclass(frozen=True)
+class TimerDue:
+    token: int
+
+
+@dataclass(frozen=True)
+class ProbeEnded:
+    server: int
+    outcome: int
+    took_ms: float
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True)
+class PeerMessage:
+    sender: int
+    data: bytes
+
+
+Event = (
+    ServerList
+    | NewSession
+    | HandedOver
+    | Playing
+    | Note
+    | AttemptEnded
+    | ViewerGone
+    | TimerDue
+    | ProbeEnded
+    | PeerMessage
+)
+
+# Actions
+
+
+@dataclass(frozen=True)
+class SetUp:
+    id: int
+    server: int
+    timeout_ms: float  # 0: until the viewer gives up
+
+
+@dataclass(frozen=True)
+class SetRung:
+    id: int
+    rung: int
+
+
+@dataclass(frozen=True)
+class Refuse:
+    id: int
+    pause_ms: float
+
+
+@dataclass(frozen=True)
+class Fail:
+    id: int
+
+
+@dataclass(frozen=True)
+class Move:
+    id: int
+
+
+@dataclass(frozen=True)
+class Cancel:
+    id: int
+    attempt: int
+
+
+@dataclass(frozen=True)
+class SetTimer:
+    token: int
+    after_ms: float
+
+
+@dataclass(frozen=True)
+class Probe:
+    server: int
+
+
+@dataclass(frozen=True)
+class TellPeers:
+    data: bytes
+    to: int | None = None  # None: all
+
+
+@dataclass(frozen=True)
+class Subscribe:
+    on: bool
+
+
+@dataclass(frozen=True)
+class Reload:
+    pass
+
+
+@dataclass(frozen=True)
+class Remark:
+    text: str
+
+
+Action = (
+    SetUp
+    | SetRung
+    | Refuse
+    | Fail
+    | Move
+    | Cancel
+    | SetTimer
+    | Probe
+    | TellPeers
+    | Subscribe
+    | Reload
+    | Remark
+)
