--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -27,6 +27,9 @@
 TICK_MS = 500.0  # rung control and quota upkeep
 CUT_ABOVE = 1.03  # own use over its budget that starts a step down: reports wander by a few points
 LIFT_BELOW = 0.92  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
+SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
+SHORT_LEAST = 0.2  # of its told size: a shortfall tells no less than this of an uplink
+REGAIN = 0.03  # then, each tick, so much of the way back to the told size
 DWELL_UP_MS = 8000.0  # a session is not lifted sooner after its last change: keeps under 3 steps a minute
 DWELL_DOWN_MS = 1500.0  # nor cut again before a report can tell of the last cut
 EVIDENCE_BAR = 1.5  # evidence at which a server is left alone: two failures nearly in a row
@@ -121,6 +124,8 @@
         self.past: deque[tuple[float, float]] = deque()  # (time, own use up to then)
         self.others: float | None = None
         self.base = 0.0  # own use that the last report of this pipe knew of
+        self.told_cap = cap
+        self.short_at = float("-inf")  # last told short of its rates, where no use is told
         self.heard_at = float("-inf")
 
     def change(self, now: float, kb: float) -> None:
@@ -722,6 +727,8 @@
             box.link.hear(self.now, event.value, lag)
             if "x1" not in self.settings.report_fields:
                 s.first_note = False
+                if box.uplink:
+                    self.sum_rack(box.uplink, lag)
         elif event.kind == i.NoteKind.UPLINK:
             if box.uplink:
                 box.uplink.hear(self.now, event.value, lag)
@@ -732,16 +739,31 @@
     def on_share(self, box: Box, share: float) -> None:
         if share < STALLED_SHARE:
             self.blame(box, EVIDENCE_BAR, False)
-            return
-        if share < 0.98 and "x1" not in self.settings.report_fields and box.uplink:
-            if box.link.load() * share < 0.9:  # the link alone does not explain it
-                box.uplink.hear(self.now, 1 / share, self.settings.told_late_ms)
+        elif share < 0.98 and "x1" not in self.settings.report_fields and box.uplink:
+            up = box.uplink
+            if box.link.load() * share < 0.9:  # the link alone does not explain it: the uplink gives less
+                if self.now - up.short_at > SHORT_HOLD_MS:  # what came late still tells of before the cut
+                    seen = share * (up.base + (up.others or 0.0))
+                    up.cap = max(SHORT_LEAST * up.told_cap, min(up.cap, seen))
+                    up.short_at = self.now
+
+    def sum_rack(self, uplink: Pipe, lag: float) -> None:
+        """Where uplinks are not reported: their use is the sum of what is asked of the rack's links."""
+        known = [b.link for b in self.boxes.values() if b.uplink is uplink]
+        others = [link.others for link in known if link.others is not None]
+        if others:
+            uplink.others = sum(others) * len(known) / len(others)
+            uplink.base = uplink.own_at(self.now - lag)
+            uplink.heard_at = self.now
 
     def on_tick(self) -> None:
         self.out.append(i.SetTimer(0, TICK_MS))
         for box in self.boxes.values():
             if self.now >= box.quota_at:
                 self.set_quota(box)
+        for uplink in self.racks.values():
+            if self.now - uplink.short_at > SHORT_HOLD_MS:
+                uplink.cap += REGAIN * (uplink.told_cap - uplink.cap)
         for box in self.boxes.values():
             self.control(box)
 
@@ -762,6 +784,7 @@
         room = min(LIFT_BELOW * self.budget(p) - p.own for p in box.pipes)
         for s in sorted(playing, key=lambda s: -s.plan.worth):
             if s.rung < s.plan.rungs[level] and self.now - s.changed_at > DWELL_UP_MS:
-                if s.plan.kb[s.rung + 1] - s.kb <= room:
-                    self.set_rung(s, s.rung + 1)
-                    return
+                for rung in range(s.plan.rungs[level], s.rung, -1):
+                    if s.plan.kb[rung] - s.kb <= room:
+                        self.set_rung(s, rung)
+                        return
