--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -30,7 +30,7 @@
 SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
 SHORT_LEAST = 0.2  # of its told size: a shortfall tells no less than this of an uplink
 REGAIN = 0.03  # then, each tick, so much of the way back to the told size
-DWELL_UP_MS = 16000.0  # a session is not lifted sooner after its last change: keeps under 3 steps a minute
+DWELL_UP_MS = 8000.0  # a session is not lifted sooner after its last change: keeps under 3 steps a minute
 DWELL_DOWN_MS = 1500.0  # nor cut again before a report can tell of the last cut
 EVIDENCE_BAR = 1.5  # evidence at which a server is left alone: two failures nearly in a row
 EVIDENCE_PROVEN = 0.5  # evidence above which no paid session is sent
@@ -426,6 +426,8 @@
         pair = self.pick(s)
         for box in pair:
             top = s.plan.rungs[self.level(box, s.plan)]
+            if top < s.plan.top and s.plan.kb[top + 1] <= self.lift_room(box):
+                top += 1
             for rung in range(top, s.plan.floor - 1, -1):
                 part = self.part(box, s.premium, s.plan.kb[rung])
                 if part:
@@ -781,10 +783,13 @@
                     if self.room(box) >= 0:
                         return
             return
-        room = min(LIFT_BELOW * self.budget(p) - p.own for p in box.pipes)
-        for s in sorted(playing, key=lambda s: -s.plan.worth):
-            if s.rung < s.plan.rungs[level] and self.now - s.changed_at > DWELL_UP_MS:
-                for rung in range(s.plan.rungs[level], s.rung, -1):
-                    if s.plan.kb[rung] - s.kb <= room:
-                        self.set_rung(s, rung)
-                        return
+        room = self.lift_room(box)
+        ready = [s for s in playing if s.rung < s.plan.top and self.now - s.changed_at > DWELL_UP_MS]
+        for s in sorted(ready, key=lambda s: -s.plan.prices[s.rung - s.plan.floor]):
+            for rung in range(max(s.plan.rungs[level], s.rung + 1), s.rung, -1):
+                if s.plan.kb[rung] - s.kb <= room:
+                    self.set_rung(s, rung)
+                    return
+
+    def lift_room(self, box: Box) -> float:
+        return min(LIFT_BELOW * self.budget(p) - p.own for p in box.pipes)
