--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -27,9 +27,10 @@
 TICK_MS = 500.0  # rung control and quota upkeep
 CUT_ABOVE = 1.03  # own use over its budget that starts a step down: reports wander by a few points
 LIFT_BELOW = 0.92  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
+CALM_MS = 6000.0  # no lift on a pipe that had to be cut this lately: room that comes and goes costs switches
 SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
 SHORT_LEAST = 0.2  # of its told size: a shortfall tells no less than this of an uplink
-REGAIN = 0.03  # then, each tick, so much of the way back to the told size
+REGAIN = 0.01  # then, each tick, so much of the way back to the told size
 DWELL_UP_MS = 8000.0  # a session is not lifted sooner after its last change: keeps under 3 steps a minute
 DWELL_DOWN_MS = 1500.0  # nor cut again before a report can tell of the last cut
 EVIDENCE_BAR = 1.5  # evidence at which a server is left alone: two failures nearly in a row
@@ -125,6 +126,7 @@
         self.others: float | None = None
         self.base = 0.0  # own use that the last report of this pipe knew of
         self.told_cap = cap
+        self.cut_at = float("-inf")
         self.short_at = float("-inf")  # last told short of its rates, where no use is told
         self.heard_at = float("-inf")
 
@@ -751,10 +753,11 @@
 
     def sum_rack(self, uplink: Pipe, lag: float) -> None:
         """Where uplinks are not reported: their use is the sum of what is asked of the rack's links."""
-        known = [b.link for b in self.boxes.values() if b.uplink is uplink]
-        others = [link.others for link in known if link.others is not None]
-        if others:
-            uplink.others = sum(others) * len(known) / len(others)
+        links = [b.link for b in self.boxes.values() if b.uplink is uplink]
+        heard = [p for p in links if self.now - p.heard_at < NO_REPORTS_MS]
+        if heard:  # links not heard of (no own session there) are taken to be as full as those heard of
+            full = sum(p.load() for p in heard) / len(heard)
+            uplink.others = sum(p.others or 0.0 for p in heard) + full * sum(p.cap for p in links if p not in heard)
             uplink.base = uplink.own_at(self.now - lag)
             uplink.heard_at = self.now
 
@@ -775,7 +778,9 @@
         if not playing:
             return
         level = self.level(box, None)
-        over = any(p.own > CUT_ABOVE * self.budget(p) for p in box.pipes)
+        over = [p for p in box.pipes if p.own > CUT_ABOVE * self.budget(p)]
+        for pipe in over:
+            pipe.cut_at = self.now
         if over:
             for s in sorted(playing, key=lambda s: s.plan.worth):
                 if s.rung > s.plan.rungs[level] and self.now - s.changed_at > DWELL_DOWN_MS:
@@ -783,6 +788,8 @@
                     if self.room(box) >= 0:
                         return
             return
+        if any(self.now - p.cut_at < CALM_MS for p in box.pipes):
+            return
         room = self.lift_room(box)
         ready = [s for s in playing if s.rung < s.plan.top and self.now - s.changed_at > DWELL_UP_MS]
         for s in sorted(ready, key=lambda s: -s.plan.prices[s.rung - s.plan.floor]):
