Uplinks whose use is not told: an own limit, cut by the delivered share and raised slowly in calm

Covers slow uplinks, uneven racks, anything that makes a rack short; harm: a share that is short for another cause holds the rack low for 3 s and more.

--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -29,8 +29,11 @@
 LIFT_BELOW = 0.92  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
 CALM_MS = 6000.0  # no lift on a pipe that had to be cut this lately: room that comes and goes costs switches
 SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
-SHORT_LEAST = 0.2  # of its told size: a shortfall tells no less than this of an uplink
-REGAIN = 0.03  # then, each tick, so much of the way back to the told size
+SHORT_CUT = 0.97  # of what an uplink was seen to give: shares come smoothed, so the first tells too little
+REGAIN = 0.004  # then, each tick, it is tried for so much more,
+REGAIN_CALM = 0.015  # or so much when it has been well for long
+LONG_CALM_MS = 10000.0
+LIMIT_OVER = 1.2  # over own use: a limit that is not tried is no knowledge
 DWELL_UP_MS = 8000.0  # a session is not lifted sooner after its last change: keeps under 3 steps a minute
 DWELL_DOWN_MS = 1500.0  # nor cut again before a report can tell of the last cut
 EVIDENCE_BAR = 1.5  # evidence at which a server is left alone: two failures nearly in a row
@@ -125,7 +128,7 @@
         self.past: deque[tuple[float, float]] = deque()  # (time, own use up to then)
         self.others: float | None = None
         self.base = 0.0  # own use that the last report of this pipe knew of
-        self.told_cap = cap
+        self.limit = 0.0  # what this front may ask where no use is told, 0: it is told
         self.cut_at = float("-inf")
         self.short_at = float("-inf")  # last told short of its rates, where no use is told
         self.heard_at = float("-inf")
@@ -151,7 +154,7 @@
         self.heard_at = now
 
     def load(self) -> float:
-        return (self.own + (self.others or 0.0)) / self.cap
+        return self.own / self.limit if self.limit else (self.own + (self.others or 0.0)) / self.cap
 
 
 class Box:
@@ -309,6 +312,8 @@
             rack = told.cell % self.settings.racks
             if rack not in self.racks:
                 self.racks[rack] = Pipe(self.settings.uplink_kb, len(self.levels))
+                if "x1" not in self.settings.report_fields:
+                    self.racks[rack].limit = TARGET * self.settings.uplink_kb / self.settings.fronts
             uplink = self.racks[rack]
         return Box(told, link, uplink, self.now + self.random.random() * QUOTA_PERIOD_MS)
 
@@ -394,6 +399,8 @@
         All fronts hear the same report at once, so each takes 1/N of the room, and of what is asked
         too much each gives back in proportion. Without fresh reports: 1/N of a cautious target.
         """
+        if pipe.limit:
+            return pipe.limit
         period = self.settings.reports_every_ms
         patience = STALE_PERIODS * period + self.settings.told_late_ms if period else NO_REPORTS_MS
         if pipe.others is None or self.now - pipe.heard_at > patience:
@@ -731,8 +738,6 @@
             box.link.hear(self.now, event.value, lag)
             if "x1" not in self.settings.report_fields:
                 s.first_note = False
-                if box.uplink:
-                    self.sum_rack(box.uplink, lag)
         elif event.kind == i.NoteKind.UPLINK:
             if box.uplink:
                 box.uplink.hear(self.now, event.value, lag)
@@ -745,30 +750,21 @@
             self.blame(box, EVIDENCE_BAR, False)
         elif share < 0.98 and "x1" not in self.settings.report_fields and box.uplink:
             up = box.uplink
-            if box.link.load() * share < 0.9:  # the link alone does not explain it: the uplink gives less
-                if self.now - up.short_at > SHORT_HOLD_MS:  # what came late still tells of before the cut
-                    seen = share * (up.base + (up.others or 0.0))
-                    up.cap = max(SHORT_LEAST * up.told_cap, min(up.cap, seen))
-                    up.short_at = self.now
-
-    def sum_rack(self, uplink: Pipe, lag: float) -> None:
-        """Where uplinks are not reported: their use is the sum of what is asked of the rack's links."""
-        links = [b.link for b in self.boxes.values() if b.uplink is uplink]
-        heard = [p for p in links if self.now - p.heard_at < NO_REPORTS_MS]
-        if heard:  # links not heard of (no own session there) are taken to be as full as those heard of
-            full = sum(p.load() for p in heard) / len(heard)
-            uplink.others = sum(p.others or 0.0 for p in heard) + full * sum(p.cap for p in links if p not in heard)
-            uplink.base = uplink.own_at(self.now - lag)
-            uplink.heard_at = self.now
+            if box.link.load() * share < 0.9 and self.now - up.short_at > SHORT_HOLD_MS:
+                # the link alone does not explain it; what comes within the hold still tells of before the cut
+                up.limit = SHORT_CUT * share * up.own_at(self.now - self.settings.told_late_ms)
+                up.short_at = self.now
 
     def on_tick(self) -> None:
         self.out.append(i.SetTimer(0, TICK_MS))
         for box in self.boxes.values():
             if self.now >= box.quota_at:
                 self.set_quota(box)
-        for uplink in self.racks.values():
-            if self.now - uplink.short_at > SHORT_HOLD_MS:
-                uplink.cap += REGAIN * (uplink.told_cap - uplink.cap)
+        if "x1" not in self.settings.report_fields:
+            for up in self.racks.values():
+                calm = self.now - up.short_at
+                if calm > SHORT_HOLD_MS and up.limit < max(up.cap / self.settings.fronts, LIMIT_OVER * up.own):
+                    up.limit *= 1 + (REGAIN if calm < LONG_CALM_MS else REGAIN_CALM)
         for box in self.boxes.values():
             self.control(box)
 
