--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -27,8 +27,6 @@
 TICK_MS = 500.0  # rung control and quota upkeep
 CUT_ABOVE = 1.03  # own use over its budget that starts a step down: reports wander by a few points
 LIFT_BELOW = 0.92  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
-CALM_MS = 4000.0  # no lift on a pipe that had to be cut this lately; doubles when the cuts come again,
-CALM_CAP_MS = 16000.0  # up to this: room that comes and goes costs switches
 SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
 SHORT_CUT = 0.97  # of what an uplink was seen to give: shares come smoothed, so the first tells too little
 REGAIN = 0.004  # then, each tick, it is tried for so much more,
@@ -130,8 +128,6 @@
         self.others: float | None = None
         self.base = 0.0  # own use that the last report of this pipe knew of
         self.limit = 0.0  # what this front may ask where no use is told, 0: it is told
-        self.cut_at = float("-inf")
-        self.calm_ms = CALM_MS
         self.short_at = float("-inf")  # last told short of its rates, where no use is told
         self.heard_at = float("-inf")
 
@@ -777,11 +773,6 @@
             return
         level = self.level(box, None)
         over = [p for p in box.pipes if p.own > CUT_ABOVE * self.budget(p)]
-        for pipe in over:
-            if self.now - pipe.cut_at > DWELL_DOWN_MS:  # a cut of its own: room that comes and goes is trusted less
-                again = self.now - pipe.cut_at < 2 * pipe.calm_ms
-                pipe.calm_ms = min(CALM_CAP_MS, 2 * pipe.calm_ms) if again else CALM_MS
-                pipe.cut_at = self.now
         if over:
             for s in sorted(playing, key=lambda s: s.plan.worth):
                 if s.rung > s.plan.rungs[level] and self.now - s.changed_at > DWELL_DOWN_MS:
@@ -789,8 +780,6 @@
                     if self.room(box) >= 0:
                         return
             return
-        if any(self.now - p.cut_at < p.calm_ms for p in box.pipes):
-            return
         room = self.lift_room(box)
         ready = [s for s in playing if s.rung < s.plan.top and self.now - s.changed_at > DWELL_UP_MS]
         for s in sorted(ready, key=lambda s: -s.plan.prices[s.rung - s.plan.floor]):
