--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -28,6 +28,7 @@
 CUT_ABOVE = 1.03  # own use over its budget that starts a step down: reports wander by a few points
 LIFT_BELOW = 0.92  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
 SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
+SHARE_FRESH_MS = 2200.0  # a share is told each second while it is short: two periods and some delay
 SHORT_CUT = 0.97  # of what an uplink was seen to give: shares come smoothed, so the first tells too little
 REGAIN = 0.004  # then, each tick, it is tried for so much more,
 REGAIN_CALM = 0.015  # or so much when it has been well for long
@@ -167,6 +168,7 @@
         self.quota = (0, 0)
         self.quota_at = now
         self.slot_kb = 1.0
+        self.share, self.share_at = 1.0, float("-inf")  # last told share of the rates delivered
         self.evidence = 0.0
         self.barred_until = float("-inf")
         self.backoff = BACKOFF_MS
@@ -746,12 +748,20 @@
     def on_share(self, box: Box, share: float) -> None:
         if share < STALLED_SHARE:
             self.blame(box, EVIDENCE_BAR, False)
-        elif share < 0.98 and "x1" not in self.settings.report_fields and box.uplink:
-            up = box.uplink
-            if box.link.load() * share < 0.9 and self.now - up.short_at > SHORT_HOLD_MS:
-                # the link alone does not explain it; what comes within the hold still tells of before the cut
-                up.limit = SHORT_CUT * share * up.own_at(self.now - self.settings.told_late_ms)
-                up.short_at = self.now
+        box.share, box.share_at = share, self.now
+        up = box.uplink
+        if up is None or not up.limit or self.now - up.short_at < SHORT_HOLD_MS:
+            return  # what comes within the hold still tells of before the cut
+        # An uplink falls short for all its servers alike, a link for one: the best-served server tells.
+        best, mates = 0.0, 0
+        for mate in self.boxes.values():
+            since = min((s.started for s in mate.sessions.values() if s.playing), default=self.now)
+            if mate.uplink is up and self.now - since > SHARE_FRESH_MS:
+                mates += 1
+                best = max(best, mate.share if self.now - mate.share_at < SHARE_FRESH_MS else 1.0)
+        if best < 0.98 and (mates > 1 or box.link.load() * best < 0.9):
+            up.limit = SHORT_CUT * best * up.own_at(self.now - self.settings.told_late_ms)
+            up.short_at = self.now
 
     def on_tick(self) -> None:
         self.out.append(i.SetTimer(0, TICK_MS))
