--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from random import Random
+from typing import Any
 
 from lemonhall import interface as i
 from lemonhall.interface import Outcome, Repeat, ServerState
@@ -40,6 +42,12 @@
 EVIDENCE_PROVEN = 0.5  # evidence above which no paid session is sent
 BACKOFF_MS = 1500.0  # first rest of a barred server; doubles up to the cap
 BACKOFF_CAP_MS = 8000.0
+BLAME = {  # evidence of an attempt's end, and whether the server may have restarted since
+    Outcome.CONNECT_FAILED: (EVIDENCE_BAR, True),
+    Outcome.RESET: (EVIDENCE_BAR, True),
+    Outcome.TIMEOUT: (1.0, True),
+    Outcome.ERROR: (1.0, False),
+}
 FLEET_PART = 0.5  # part of the servers barred at once above which the fleet is blamed, not the servers
 STALLED_SHARE = 0.15  # delivered share under which a server is taken to stand still
 FIRST_SET_UP_MS = 150.0  # set-up time before any was seen
@@ -160,48 +168,34 @@
     """A server as this front knows it."""
 
     def __init__(self, told: i.Server, link: Pipe, uplink: Pipe | None, now: float) -> None:
-        self.told = told
-        self.link = link
-        self.uplink = uplink
+        self.told, self.link, self.uplink = told, link, uplink
         self.pipes = [link] if uplink is None else [link, uplink]
         self.sessions: dict[int, Session] = {}
-        self.quota = (0, 0)
-        self.quota_at = now
-        self.slot_kb = 1.0
+        self.quota, self.quota_at, self.slot_kb = (0, 0), now, 1.0
         self.share, self.share_at = 1.0, float("-inf")  # last told share of the rates delivered
-        self.evidence = 0.0
-        self.barred_until = float("-inf")
-        self.backoff = BACKOFF_MS
+        self.evidence, self.barred_until, self.backoff = 0.0, float("-inf"), BACKOFF_MS
         self.trial: int | None = None
         self.proven = False
         self.failed_at = float("-inf")  # of a failure after which it may have restarted
-        self.cold_until = float("-inf")
-        self.cold_sent = float("-inf")
+        self.cold_until = self.cold_sent = float("-inf")
 
     def held(self, part: str) -> float:
         return sum(s.kb for s in self.sessions.values() if s.part == part)
 
 
 class Session:
-    def __init__(self, told: i.NewSession, cls: i.SessionClass, plan: Plan, now: float) -> None:
-        self.told = told
-        self.cls = cls
-        self.plan = plan
+    def __init__(self, told: i.NewSession, cls: i.SessionClass, plan: Plan, premium: bool, now: float) -> None:
+        self.told, self.cls, self.plan = told, cls, plan
         self.deadline = now + told.left_ms
-        self.premium = False
+        self.premium = premium
         self.box: Box | None = None
-        self.rung = plan.floor
-        self.kb = 0.0
+        self.rung, self.kb = plan.floor, 0.0
         self.part = ""  # high, low (the reserves) or pool
-        self.playing = False
-        self.started = now
-        self.changed_at = float("-inf")
+        self.playing, self.gone, self.first_note = False, False, True
+        self.started, self.changed_at = now, float("-inf")
         self.sub_rated_from: int | None = None
-        self.was_sub_rated = False
-        self.attempts = 0
-        self.maybe_ran = False
-        self.first_note = True
-        self.gone = False
+        self.was_sub_rated = False  # only once in its life
+        self.attempts, self.maybe_ran = 0, False
         self.tried: list[int] = []
 
 
@@ -236,6 +230,15 @@
                 for top in range(len(settings.ladder_kb)):
                     plan = self.plans[n, over, top] = Plan(cls, worth, top, settings)
                     prices.update(dict.fromkeys(plan.prices))
+        self.acts: dict[type, Callable[[Any], None]] = {
+            i.NewSession: self.on_new,
+            i.Note: self.on_note,
+            i.Playing: self.on_playing,
+            i.AttemptEnded: self.on_ended,
+            i.HandedOver: self.on_handed_over,
+            i.ViewerGone: self.on_viewer_gone,
+            i.TimerDue: self.on_tick,
+        }
         self.levels = [p * (1 + 1e-9) if p else 0.0 for p in sorted(prices)]
         for plan in self.plans.values():
             plan.price_out(self.levels)
@@ -250,20 +253,9 @@
             if isinstance(event, i.ServerList):
                 self.on_list(event)
         for event in events:
-            if isinstance(event, i.NewSession):
-                self.on_new(event)
-            elif isinstance(event, i.Note):
-                self.on_note(event)
-            elif isinstance(event, i.Playing):
-                self.on_playing(event)
-            elif isinstance(event, i.AttemptEnded):
-                self.on_ended(event)
-            elif isinstance(event, i.HandedOver):
-                self.on_handed_over(event)
-            elif isinstance(event, i.ViewerGone):
-                self.on_viewer_gone(event)
-            elif isinstance(event, i.TimerDue):
-                self.on_tick()
+            act = self.acts.get(type(event))
+            if act:
+                act(event)
         if not self.ticking:
             self.ticking = True
             self.out.append(i.SetTimer(0, TICK_MS))
@@ -324,19 +316,19 @@
     # Arrivals
 
     def on_new(self, told: i.NewSession) -> None:
-        cls = self.settings.classes[told.cls]
-        over = self.over_share(told.tenant)
-        s = Session(told, cls, self.plans[told.cls, over, self.top(told)], self.now)
-        s.premium = s.plan.worth > self.cheapest
-        self.sessions[told.id] = s
+        s = self.session(told, self.over_share(told.tenant))
         self.taken.append(self.now)
         self.decay_counts()
         self.counts[s.premium] += 1.0
         self.worths[s.premium] += 0.05 * (s.plan.worth - self.worths[s.premium])
         self.place(s)
 
-    def top(self, told: i.NewSession) -> int:
-        return max(0, min(told.top, len(self.settings.ladder_kb) - 1))
+    def session(self, told: i.NewSession, over: bool) -> Session:
+        top = max(0, min(told.top, len(self.settings.ladder_kb) - 1))
+        plan = self.plans[told.cls, over, top]
+        s = Session(told, self.settings.classes[told.cls], plan, plan.worth > self.cheapest, self.now)
+        self.sessions[told.id] = s
+        return s
 
     def over_share(self, tenant: int) -> bool:
         """A bucket of this front's part of the tenant's told rate, 5 s deep."""
@@ -586,38 +578,36 @@
         self.attach(s, box)
 
     def attach(self, s: Session, box: Box) -> None:
-        s.box = box
+        s.box, s.kb = box, s.plan.kb[s.rung]
         box.sessions[s.told.id] = s
-        key = (s.told.cls, s.told.title)
-        self.seats[key] = self.seats.get(key, 0) + 1
-        s.kb = s.plan.kb[s.rung]
-        for pipe in box.pipes:
-            pipe.change(self.now, s.kb)
-            pipe.want = [w + r for w, r in zip(pipe.want, s.plan.rates, strict=True)]
+        self.ledger(s, 1)
 
     def detach(self, s: Session) -> None:
-        box = s.box
-        if box is None:
+        if s.box is None:
             return
+        self.ledger(s, -1)
+        del s.box.sessions[s.told.id]
+        if s.box.trial == s.told.id:
+            s.box.trial = None
         s.box = None
-        del box.sessions[s.told.id]
-        if box.trial == s.told.id:
-            box.trial = None
+
+    def ledger(self, s: Session, sign: int) -> None:
+        """Seats and rates count from the set-up (or the hand-over) to the report of the end."""
         key = (s.told.cls, s.told.title)
-        self.seats[key] -= 1
+        self.seats[key] = self.seats.get(key, 0) + sign
         if not self.seats[key]:
             del self.seats[key]
-        for pipe in box.pipes:
-            pipe.change(self.now, -s.kb)
-            pipe.want = [w - r for w, r in zip(pipe.want, s.plan.rates, strict=True)]
+        for pipe in s.box.pipes if s.box else ():
+            pipe.change(self.now, sign * s.kb)
+            pipe.want = [w + sign * r for w, r in zip(pipe.want, s.plan.rates, strict=True)]
 
-    def set_rung(self, s: Session, rung: int) -> None:
-        self.out.append(i.SetRung(s.told.id, rung))
-        delta = s.plan.kb[rung] - s.kb
-        s.rung, s.kb, s.changed_at = rung, s.plan.kb[rung], self.now
-        if s.box:
-            for pipe in s.box.pipes:
-                pipe.change(self.now, delta)
+    def set_rung(self, s: Session, rung: int, told: bool = False) -> None:
+        if not told:
+            self.out.append(i.SetRung(s.told.id, rung))
+            s.changed_at = self.now
+        for pipe in s.box.pipes if s.box else ():
+            pipe.change(self.now, s.plan.kb[rung] - s.kb)
+        s.rung, s.kb = rung, s.plan.kb[rung]
 
     def may_retry(self, s: Session) -> bool:
         if s.attempts >= self.settings.max_attempts or s.deadline - self.now < MIN_ATTEMPT_MS:
@@ -660,15 +650,15 @@
         if s is None:
             return
         self.detach(s)
+        if box and event.outcome == Outcome.FULL:
+            box.link.hear(self.now, max(self.settings.full_from, 1.0), 0.0)
+        elif box and event.outcome in BLAME:
+            self.blame(box, *BLAME[event.outcome])
         if s.playing and box:
             if event.outcome == Outcome.OK:
                 self.length_ms += 0.05 * (self.now - s.started - self.length_ms)
-            elif event.outcome == Outcome.RESET:
-                self.blame(box, 1.0, True)
             if s.premium:
                 self.restore(box)
-        elif box:
-            self.judge(box, event)
         if event.closed or s.gone:
             del self.sessions[event.id]
             return
@@ -678,18 +668,6 @@
         else:
             self.give_up(s)
 
-    def judge(self, box: Box, event: i.AttemptEnded) -> None:
-        if event.outcome == Outcome.OK:
-            self.praise(box)
-        elif event.outcome == Outcome.FULL:
-            box.link.hear(self.now, max(self.settings.full_from, 1.0), 0.0)
-        elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
-            self.blame(box, EVIDENCE_BAR, True)
-        elif event.outcome == Outcome.TIMEOUT:
-            self.blame(box, 1.0, True)
-        elif event.outcome == Outcome.ERROR:
-            self.blame(box, 1.0, False)
-
     def read_report(self, box: Box, report: tuple[float, ...]) -> None:
         for name, value in zip(self.settings.report_fields, report, strict=False):
             if name == "x0" or (name == "utilization" and value < 0.99):
@@ -708,16 +686,13 @@
 
     def on_handed_over(self, event: i.HandedOver) -> None:
         told = event.session
-        cls = self.settings.classes[told.cls]
-        s = Session(told, cls, self.plans[told.cls, False, self.top(told)], self.now)
-        s.premium = s.plan.worth > self.cheapest
+        s = self.session(told, False)
         s.playing, s.attempts, s.part = True, 1, "pool"
         box = self.boxes.get(event.server)
         if box is None:  # not on the list that came with the start: keep its session, send nothing there
             told_box = i.Server(event.server, 0, 1.0, 0, told.first_cell, 0.0, ServerState.GONE)
             box = self.new_box(told_box, self.places(told_box))
         box.proven = True
-        self.sessions[told.id] = s
         self.attach(s, box)
 
     # Notes and rung control
@@ -729,10 +704,7 @@
         box = s.box
         lag = 0.0 if s.first_note and s.attempts else self.settings.told_late_ms
         if event.kind == i.NoteKind.RUNG:
-            delta = s.plan.kb[int(event.value)] - s.kb
-            s.rung, s.kb = int(event.value), s.plan.kb[int(event.value)]
-            for pipe in box.pipes:
-                pipe.change(self.now, delta)
+            self.set_rung(s, int(event.value), told=True)
             s.first_note = False
         elif event.kind == i.NoteKind.LINK:
             box.link.hear(self.now, event.value, lag)
@@ -763,7 +735,7 @@
             up.limit = SHORT_CUT * best * up.own_at(self.now - self.settings.told_late_ms)
             up.short_at = self.now
 
-    def on_tick(self) -> None:
+    def on_tick(self, _: i.TimerDue) -> None:
         self.out.append(i.SetTimer(0, TICK_MS))
         for box in self.boxes.values():
             if self.now >= box.quota_at:
