--- a/lemonhall/adapter.py
+++ b/lemonhall/adapter.py
@@ -8,7 +8,11 @@
 
 from lemonhall import wire
 from lemonhall.decide import Front
-from lemonhall.interface import Action, Event
+from lemonhall.interface import Action, Event, Server
+
+
+def _bug(error: Exception) -> wire.Bug:
+    return wire.Bug(f"{type(error).__name__}: {error}")
 
 
 def read_frame(source: BinaryIO) -> bytes | None:
@@ -20,9 +24,7 @@
     length = wire.frame_length(header)
     body = source.read(length - len(header))
     if len(header) + len(body) < length:
-        raise wire.WireError(
-            f"input ends within a frame: {len(header) + len(body)} of {length} bytes"
-        )
+        raise wire.WireError(f"input ends within a frame: {len(header) + len(body)} of {length} bytes")
     return header + body
 
 
@@ -31,7 +33,7 @@
 
     def __init__(self) -> None:
         self.fronts: dict[int, Front] = {}
-        self.banks: dict[int, tuple[wire.i.Server, ...]] = {}
+        self.banks: dict[int, tuple[Server, ...]] = {}
 
     def answer(self, frame: bytes) -> bytes:
         batch = wire.decode_batch(frame, self.banks)
@@ -40,7 +42,12 @@
         for instance, event in batch.events:
             if isinstance(event, wire.Born):
                 pending[instance] = []
-                self.fronts[instance] = Front(event.settings, event.seed)
+                try:
+                    self.fronts[instance] = Front(event.settings, event.seed)
+                except Exception as error:
+                    traceback.print_exc()
+                    actions.append((instance, _bug(error)))
+                    pending.pop(instance)
             elif isinstance(event, wire.Retired):
                 pending.pop(instance, None)
                 self.fronts.pop(instance, None)
@@ -53,7 +60,7 @@
                 made = self.fronts[instance].handle(batch.now, events)
             except Exception as error:
                 traceback.print_exc()
-                actions.append((instance, wire.Bug(f"{type(error).__name__}: {error}")))
+                actions.append((instance, _bug(error)))
             else:
                 actions.extend((instance, action) for action in made)
         return wire.encode_reply(batch.number, actions)
--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -19,7 +19,9 @@
 ALPHA = 2  # sessions sub-rated for one premium session (the paper's alpha)
 QUOTA_PERIOD_MS = 5000.0  # the quotas of a server are picked anew this often (design)
 FEW_COUNTS = 8.0  # arrivals (decayed count) under which every slot stays in the pool
+QUOTA_BURST_S = 5.0  # a tenant may be this far ahead of its told rate before it counts as over its share
 RATE_WINDOW_MS = 20000.0  # memory of arrival rates and lengths; a third of a usual session's life
+GAIN = 0.1  # weight of the newest in running means of set-up times, lengths and worths
 FIRST_LENGTH_MS = 40000.0  # length of a session before any was seen to end; only scales the quotas
 TARGET = 0.92  # part of a link or uplink that may be asked: true rates and reports wander round the told
 BLIND = 0.8  # of the target, when no report has come for a while: grow cautious
@@ -42,7 +44,9 @@
 EVIDENCE_PROVEN = 0.5  # evidence above which no paid session is sent
 BACKOFF_MS = 1500.0  # first rest of a barred server; doubles up to the cap
 BACKOFF_CAP_MS = 8000.0
-BLAME = {  # evidence of an attempt's end, and whether the server may have restarted since
+BLAME: dict[
+    int, tuple[float, bool]
+] = {  # evidence of an attempt's end, and whether the server may have restarted since
     Outcome.CONNECT_FAILED: (EVIDENCE_BAR, True),
     Outcome.RESET: (EVIDENCE_BAR, True),
     Outcome.TIMEOUT: (1.0, True),
@@ -118,8 +122,6 @@
             self.prices.append(gain / max(1e-9, self.kb[r] - self.kb[r - 1]))
         for n in range(len(self.prices) - 2, -1, -1):  # a dear step is not blocked by a poor one below it
             self.prices[n] = max(self.prices[n], self.prices[n + 1])
-        self.rungs: list[int] = []
-        self.rates: list[float] = []
 
     def price_out(self, levels: list[float]) -> None:
         self.rungs = [self.floor + sum(1 for p in self.prices if p >= level) for level in levels]
@@ -145,19 +147,16 @@
         self.own = max(0.0, self.own + kb)
 
     def own_at(self, when: float) -> float:
-        while len(self.past) > 1 and self.past[0][0] <= when and self.past[1][0] <= when:
+        while self.past and self.past[0][0] <= when:
             self.past.popleft()
-        for at, own in self.past:
-            if at > when:
-                return own
-        return self.own
+        return self.past[0][1] if self.past else self.own
 
     def hear(self, now: float, use: float, lag: float) -> None:
         """A report of asked over given, as of `lag` ago."""
         self.base = self.own_at(now - lag)
         others = max(0.0, use * self.cap - self.base)
-        fresh = self.others is None or now - self.heard_at > NO_REPORTS_MS
-        self.others = others if fresh else SMOOTH * others + (1 - SMOOTH) * (self.others or 0.0)
+        old = others if self.others is None or now - self.heard_at > NO_REPORTS_MS else self.others
+        self.others = SMOOTH * others + (1 - SMOOTH) * old
         self.heard_at = now
 
     def load(self) -> float:
@@ -184,10 +183,10 @@
 
 
 class Session:
-    def __init__(self, told: i.NewSession, cls: i.SessionClass, plan: Plan, premium: bool, now: float) -> None:
+    def __init__(self, told: i.NewSession, cls: i.SessionClass, plan: Plan, now: float) -> None:
         self.told, self.cls, self.plan = told, cls, plan
         self.deadline = now + told.left_ms
-        self.premium = premium
+        self.premium = False
         self.box: Box | None = None
         self.rung, self.kb = plan.floor, 0.0
         self.part = ""  # high, low (the reserves) or pool
@@ -271,14 +270,13 @@
             self.list_fresh = True
         if event.kind != i.ListKind.CHANGES:
             named = {s.id: None for s in event.servers}
-            for box in [b for b in self.boxes.values() if b.told.id not in named]:
-                self.drop_box(box)
-        mean_places = self.mean_places(event.servers)
+            self.boxes = {n: b for n, b in self.boxes.items() if n in named}
+        size = [self.places(s) for s in event.servers] + [self.places(b.told) for b in self.boxes.values()]
+        mean_places = sum(size) / max(1, len(size))
         for told in event.servers:
             known = self.boxes.get(told.id)
             if told.state == ServerState.GONE:
-                if known:
-                    self.drop_box(known)
+                self.boxes.pop(told.id, None)  # its sessions are kept until their end is reported
             elif known:
                 if told.ready_at != known.told.ready_at:
                     known.evidence, known.backoff, known.proven = 0.0, BACKOFF_MS, False
@@ -287,11 +285,6 @@
             else:
                 self.boxes[told.id] = self.new_box(told, mean_places)
 
-    def mean_places(self, servers: tuple[i.Server, ...]) -> float:
-        places = [self.places(s) for s in servers] or [1]
-        old = [self.places(b.told) for b in self.boxes.values()]
-        return sum(old or places) / len(old or places)
-
     def places(self, told: i.Server) -> int:
         table = self.settings.places_by_kind
         return table[told.kind] if told.kind < len(table) else max(1, min(table))
@@ -309,10 +302,6 @@
             uplink = self.racks[rack]
         return Box(told, link, uplink, self.now + self.random.random() * QUOTA_PERIOD_MS)
 
-    def drop_box(self, box: Box) -> None:
-        """Gone: nothing new from this batch on. Sessions there are kept until their end is reported."""
-        del self.boxes[box.told.id]
-
     # Arrivals
 
     def on_new(self, told: i.NewSession) -> None:
@@ -320,25 +309,24 @@
         self.taken.append(self.now)
         self.decay_counts()
         self.counts[s.premium] += 1.0
-        self.worths[s.premium] += 0.05 * (s.plan.worth - self.worths[s.premium])
+        self.worths[s.premium] += GAIN * (s.plan.worth - self.worths[s.premium])
         self.place(s)
 
     def session(self, told: i.NewSession, over: bool) -> Session:
         top = max(0, min(told.top, len(self.settings.ladder_kb) - 1))
         plan = self.plans[told.cls, over, top]
-        s = Session(told, self.settings.classes[told.cls], plan, plan.worth > self.cheapest, self.now)
-        self.sessions[told.id] = s
+        s = self.sessions[told.id] = Session(told, self.settings.classes[told.cls], plan, self.now)
+        s.premium = plan.worth > self.cheapest
         return s
 
     def over_share(self, tenant: int) -> bool:
-        """A bucket of this front's part of the tenant's told rate, 5 s deep."""
-        if tenant >= len(self.settings.tenants):
-            return False
-        quota = self.settings.tenants[tenant].quota_per_s / self.settings.fronts
+        """A bucket of this front's part of the tenant's told rate."""
+        tenants = self.settings.tenants
+        quota = tenants[tenant].quota_per_s / self.settings.fronts if tenant < len(tenants) else 0.0
         if quota <= 0:
             return False
-        room, at = self.tenant_room.get(tenant, (quota * 5, self.now))
-        room = min(quota * 5, room + quota * (self.now - at) / 1000)
+        room, at = self.tenant_room.get(tenant, (quota * QUOTA_BURST_S, self.now))
+        room = min(quota * QUOTA_BURST_S, room + quota * (self.now - at) / 1000)
         over = room < 1
         self.tenant_room[tenant] = (room if over else room - 1, self.now)
         return over
@@ -372,15 +360,13 @@
         box.quota = self.splits[key]
 
     def usual_kb(self, level: int) -> float:
-        plans = [self.plans[n, False, len(self.settings.ladder_kb) - 1] for n in range(len(self.settings.classes))]
-        return sum(p.rates[level] for p in plans) / len(plans)
+        rates = [plan.rates[level] for plan in self.plans.values()]
+        return sum(rates) / len(rates)
 
     def slots(self, box: Box) -> int:
         """The told link (or its part of the uplink) over the asked rate, capped by the told streams."""
-        cap = box.link.cap
-        if box.uplink:
-            mates = sum(1 for b in self.boxes.values() if b.uplink is box.uplink)
-            cap = min(cap, box.uplink.cap / max(1, mates))
+        mates = sum(1 for b in self.boxes.values() if b.uplink is box.uplink)
+        cap = min(box.link.cap, box.uplink.cap / max(1, mates)) if box.uplink else box.link.cap
         return max(1, min(self.places(box.told), int(TARGET * cap / max(1.0, box.slot_kb))))
 
     # Pipes and the asked rung
@@ -420,7 +406,7 @@
     # Admission
 
     def place(self, s: Session) -> None:
-        """The ordinary path: two random holders, the less loaded first; reserve, pool, sub-rating, refusal."""
+        """The ordinary path: two random holders, less loaded first; reserve, pool, sub-rating, refusal."""
         if s.cls.seats and self.seats.get((s.told.cls, s.told.title), 0) >= s.cls.seats:
             self.give_up(s)
             return
@@ -455,23 +441,21 @@
     def sub_rate(self, box: Box, s: Session) -> bool:
         """Alpha low pool sessions drop enough rungs to free the premium session's rate together."""
         need = s.plan.kb[s.plan.floor] - max(0.0, self.room(box))
-        chosen: list[Session] = []
-        for low in box.sessions.values():
-            if low.playing and not low.premium and low.part == "pool" and not low.was_sub_rated:
-                if low.rung > low.plan.floor:
-                    chosen.append(low)
+        chosen = [
+            low
+            for low in box.sessions.values()
+            if low.playing and low.part == "pool" and not (low.premium or low.was_sub_rated)
+        ]
         chosen.sort(key=lambda low: low.plan.kb[low.plan.floor] - low.kb)
         chosen = chosen[:ALPHA]
         if len(chosen) < ALPHA or sum(low.kb - low.plan.kb[low.plan.floor] for low in chosen) < need:
             return False
-        while need > 0:
-            for low in chosen:
-                if need > 0 and low.rung > low.plan.floor:
-                    if not low.was_sub_rated:
-                        low.was_sub_rated, low.sub_rated_from = True, low.rung
-                    before = low.kb
-                    self.set_rung(low, low.rung - 1)
-                    need -= before - low.kb
+        for n, low in enumerate(chosen):
+            low.was_sub_rated, low.sub_rated_from, before = True, low.rung, low.kb
+            part = need / (len(chosen) - n)
+            fit = [r for r in range(low.plan.floor, low.rung) if low.kb - low.plan.kb[r] >= part]
+            self.set_rung(low, max(fit, default=low.plan.floor))
+            need -= before - low.kb
         return True
 
     def restore(self, box: Box) -> None:
@@ -484,19 +468,17 @@
 
     # The pick
 
-    def holders(self, s: Session) -> list[Box]:
-        """The servers that hold the title and may take new work now."""
-        cells = self.settings.cells
-        found = []
-        for box in self.boxes.values():
-            if (box.told.cell - s.told.first_cell) % cells < s.told.cells:
-                if box.told.state == ServerState.READY and box.told.id not in s.tried:
-                    found.append(box)
-        return found
-
     def pick(self, s: Session) -> list[Box]:
-        paid = s.cls.repeat != Repeat.SAFE
-        ready = [b for b in self.holders(s) if self.warm_enough(b)]
+        """Two random servers of those that hold the title and may take new work, the less loaded first."""
+        paid, cells = s.cls.repeat != Repeat.SAFE, self.settings.cells
+        ready = [
+            b
+            for b in self.boxes.values()
+            if (b.told.cell - s.told.first_cell) % cells < s.told.cells
+            and b.told.state == ServerState.READY
+            and b.told.id not in s.tried
+            and self.warm_enough(b)
+        ]
         fit = [b for b in ready if self.healthy(b, paid)]
         if paid and not fit:
             fit = [b for b in ready if self.healthy(b, False) and b.evidence == 0 and b.trial is None]
@@ -509,10 +491,8 @@
     def healthy(self, box: Box, paid: bool) -> bool:
         if paid:
             return box.proven and box.evidence <= EVIDENCE_PROVEN and self.now >= box.barred_until
-        if box.evidence < EVIDENCE_BAR:
-            return True
         sick = sum(1 for b in self.boxes.values() if b.evidence >= EVIDENCE_BAR)
-        if sick > FLEET_PART * len(self.boxes):
+        if box.evidence < EVIDENCE_BAR or sick > FLEET_PART * len(self.boxes):
             return True
         return self.now >= box.barred_until and box.trial is None
 
@@ -552,9 +532,8 @@
             mine = int(turn) % self.settings.fronts == self.settings.index and turn % 1 < 0.5
             return mine and self.now - box.cold_sent > gap / 2
         unsure = not self.list_fresh and self.now - (self.born or 0.0) < warm
-        if box.failed_at > float("-inf") or self.now < box.cold_until or unsure:
-            return self.now - box.cold_sent > gap * self.settings.fronts
-        return True
+        cold = unsure or box.failed_at > float("-inf") or self.now < box.cold_until
+        return not cold or self.now - box.cold_sent > gap * self.settings.fronts
 
     # Attempts
 
@@ -627,7 +606,8 @@
         if s.maybe_ran and s.cls.repeat != Repeat.SAFE:
             self.out.append(i.Fail(s.told.id))
         else:
-            self.out.append(i.Refuse(s.told.id, self.settings.max_pause_ms if self.settings.pause_advice else 0.0))
+            pause = self.settings.max_pause_ms if self.settings.pause_advice else 0.0
+            self.out.append(i.Refuse(s.told.id, pause))
         del self.sessions[s.told.id]
 
     def on_playing(self, event: i.Playing) -> None:
@@ -636,8 +616,8 @@
             return
         s.playing, s.started = True, self.now
         off = event.took_ms - self.set_up_ms
-        self.set_up_ms += 0.1 * off
-        self.set_up_spread += 0.1 * (abs(off) - self.set_up_spread)
+        self.set_up_ms += GAIN * off
+        self.set_up_spread += GAIN * (abs(off) - self.set_up_spread)
         if s.box.trial == event.id:
             s.box.trial = None
         self.praise(s.box)
@@ -656,7 +636,7 @@
             self.blame(box, *BLAME[event.outcome])
         if s.playing and box:
             if event.outcome == Outcome.OK:
-                self.length_ms += 0.05 * (self.now - s.started - self.length_ms)
+                self.length_ms += GAIN * (self.now - s.started - self.length_ms)
             if s.premium:
                 self.restore(box)
         if event.closed or s.gone:
@@ -677,12 +657,10 @@
 
     def on_viewer_gone(self, event: i.ViewerGone) -> None:
         s = self.sessions.get(event.id)
-        if s is None:
-            return
-        if s.box is None:
-            del self.sessions[event.id]
-        else:
+        if s:  # an attempt that is out is kept until its end is reported
             s.gone = True
+            if s.box is None:
+                del self.sessions[event.id]
 
     def on_handed_over(self, event: i.HandedOver) -> None:
         told = event.session
@@ -743,7 +721,8 @@
         if "x1" not in self.settings.report_fields:
             for up in self.racks.values():
                 calm = self.now - up.short_at
-                if calm > SHORT_HOLD_MS and up.limit < max(up.cap / self.settings.fronts, LIMIT_OVER * up.own):
+                most = max(up.cap / self.settings.fronts, LIMIT_OVER * up.own)
+                if calm > SHORT_HOLD_MS and up.limit < most:
                     up.limit *= 1 + (REGAIN if calm < LONG_CALM_MS else REGAIN_CALM)
         for box in self.boxes.values():
             self.control(box)
--- a/lemonhall/wire.py
+++ b/lemonhall/wire.py
@@ -117,9 +117,7 @@
     servers = []
     for kind, weight, server, zone, cell, ready_at, state in ENTRY.iter_unpack(data):
         try:
-            servers.append(
-                i.Server(server, kind, weight, zone, cell, ready_at, i.ServerState(state))
-            )
+            servers.append(i.Server(server, kind, weight, zone, cell, ready_at, i.ServerState(state)))
         except ValueError:
             raise WireError(f"{where}: unknown state {state} of server {server}") from None
     return tuple(servers)
@@ -315,8 +313,7 @@
             )
         )
     tenants = tuple(
-        i.Tenant(p.number(f"customers.{n}.quotaRps", 0.0))
-        for n in range(p.whole("customers.count", 0))
+        i.Tenant(p.number(f"customers.{n}.quotaRps", 0.0)) for n in range(p.whole("customers.count", 0))
     )
     rationed = "rules.budgetFree" in p.pairs or "rules.resendRatio" in p.pairs
     return i.Settings(
