--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -25,6 +25,7 @@
 FIRST_LENGTH_MS = 40000.0  # length of a session before any was seen to end; only scales the quotas
 TARGET = 0.92  # part of a link or uplink that may be asked: true rates and reports wander round the told
 BLIND = 0.8  # of the target, when no report has come for a while: grow cautious
+LEDGER_MS = 5000.0  # own use is remembered this long: reports are late by less
 SMOOTH = 0.6  # weight of the newest report of other use against the older ones (reports are noisy)
 STALE_PERIODS = 2.5  # report periods without a report after which the own ledger alone decides
 NO_REPORTS_MS = 10000.0  # the same where no period is told
@@ -144,12 +145,12 @@
 
     def change(self, now: float, kb: float) -> None:
         self.past.append((now, self.own))
+        while self.past[0][0] < now - LEDGER_MS:
+            self.past.popleft()
         self.own = max(0.0, self.own + kb)
 
     def own_at(self, when: float) -> float:
-        while self.past and self.past[0][0] <= when:
-            self.past.popleft()
-        return self.past[0][1] if self.past else self.own
+        return next((own for at, own in self.past if at > when), self.own)
 
     def hear(self, now: float, use: float, lag: float) -> None:
         """A report of asked over given, as of `lag` ago."""
@@ -343,7 +344,8 @@
         box.quota_at = self.now + QUOTA_PERIOD_MS
         self.decay_counts()
         level = self.level(box, None)
-        box.slot_kb = box.link.want[level] / len(box.sessions) if box.sessions else self.usual_kb(level)
+        usual = self.settings.ladder_kb[len(self.settings.ladder_kb) // 2]
+        box.slot_kb = box.link.want[level] / len(box.sessions) if box.sessions else usual
         slots = self.slots(box)
         fresh = self.now - (self.born or 0.0) < QUOTA_PERIOD_MS
         if fresh or sum(self.counts) < FEW_COUNTS or self.worths[1] <= self.worths[0]:
@@ -359,10 +361,6 @@
             self.splits[key] = best_split(slots, key[1] / 4, key[2] / 4, self.worths[1], self.worths[0])
         box.quota = self.splits[key]
 
-    def usual_kb(self, level: int) -> float:
-        rates = [plan.rates[level] for plan in self.plans.values()]
-        return sum(rates) / len(rates)
-
     def slots(self, box: Box) -> int:
         """The told link (or its part of the uplink) over the asked rate, capped by the told streams."""
         mates = sum(1 for b in self.boxes.values() if b.uplink is box.uplink)
@@ -441,11 +439,8 @@
     def sub_rate(self, box: Box, s: Session) -> bool:
         """Alpha low pool sessions drop enough rungs to free the premium session's rate together."""
         need = s.plan.kb[s.plan.floor] - max(0.0, self.room(box))
-        chosen = [
-            low
-            for low in box.sessions.values()
-            if low.playing and low.part == "pool" and not (low.premium or low.was_sub_rated)
-        ]
+        pool = [low for low in box.sessions.values() if low.playing and low.part == "pool"]
+        chosen = [low for low in pool if not (low.premium or low.was_sub_rated)]
         chosen.sort(key=lambda low: low.plan.kb[low.plan.floor] - low.kb)
         chosen = chosen[:ALPHA]
         if len(chosen) < ALPHA or sum(low.kb - low.plan.kb[low.plan.floor] for low in chosen) < need:
@@ -471,14 +466,9 @@
     def pick(self, s: Session) -> list[Box]:
         """Two random servers of those that hold the title and may take new work, the less loaded first."""
         paid, cells = s.cls.repeat != Repeat.SAFE, self.settings.cells
-        ready = [
-            b
-            for b in self.boxes.values()
-            if (b.told.cell - s.told.first_cell) % cells < s.told.cells
-            and b.told.state == ServerState.READY
-            and b.told.id not in s.tried
-            and self.warm_enough(b)
-        ]
+        fresh = [b for b in self.boxes.values() if b.told.id not in s.tried]
+        held = [b for b in fresh if (b.told.cell - s.told.first_cell) % cells < s.told.cells]
+        ready = [b for b in held if b.told.state == ServerState.READY and self.warm_enough(b)]
         fit = [b for b in ready if self.healthy(b, paid)]
         if paid and not fit:
             fit = [b for b in ready if self.healthy(b, False) and b.evidence == 0 and b.trial is None]
@@ -507,11 +497,9 @@
 
     def praise(self, box: Box) -> None:
         box.evidence /= 2
-        box.proven = True
-        box.backoff = BACKOFF_MS
+        box.proven, box.trial, box.backoff = True, None, BACKOFF_MS
         if box.failed_at > float("-inf"):  # it may have started anew between the failure and now
-            box.cold_until = self.now + self.settings.warm_within_ms
-            box.failed_at = float("-inf")
+            box.cold_until, box.failed_at = self.now + self.settings.warm_within_ms, float("-inf")
 
     # Cold starts
 
@@ -618,8 +606,6 @@
         off = event.took_ms - self.set_up_ms
         self.set_up_ms += GAIN * off
         self.set_up_spread += GAIN * (abs(off) - self.set_up_spread)
-        if s.box.trial == event.id:
-            s.box.trial = None
         self.praise(s.box)
 
     def on_ended(self, event: i.AttemptEnded) -> None:
@@ -715,16 +701,13 @@
 
     def on_tick(self, _: i.TimerDue) -> None:
         self.out.append(i.SetTimer(0, TICK_MS))
+        for up in self.racks.values():
+            calm = self.now - up.short_at
+            if calm > SHORT_HOLD_MS and up.limit < max(up.cap / self.settings.fronts, LIMIT_OVER * up.own):
+                up.limit *= 1 + (REGAIN if calm < LONG_CALM_MS else REGAIN_CALM)
         for box in self.boxes.values():
             if self.now >= box.quota_at:
                 self.set_quota(box)
-        if "x1" not in self.settings.report_fields:
-            for up in self.racks.values():
-                calm = self.now - up.short_at
-                most = max(up.cap / self.settings.fronts, LIMIT_OVER * up.own)
-                if calm > SHORT_HOLD_MS and up.limit < most:
-                    up.limit *= 1 + (REGAIN if calm < LONG_CALM_MS else REGAIN_CALM)
-        for box in self.boxes.values():
             self.control(box)
 
     def control(self, box: Box) -> None:
