--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,337 @@
+"""The module alone: the six rules on random legal event sequences, and one test for each failure found."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from dataclasses import replace
+from random import Random
+
+import pytest
+from conftest import make_servers, make_settings
+
+from lemonhall.decide import COLD_MARGIN, Front
+from lemonhall.interface import (
+    Action,
+    AttemptEnded,
+    Event,
+    Fail,
+    HandedOver,
+    ListKind,
+    NewSession,
+    Note,
+    NoteKind,
+    Outcome,
+    Playing,
+    Refuse,
+    Server,
+    ServerList,
+    ServerState,
+    SetRung,
+    SetTimer,
+    Settings,
+    SetUp,
+    TimerDue,
+    ViewerGone,
+)
+
+RAN = (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
+
+
+def request(ref: int, cls: int = 1, title: int = 7, left: float = 4000.0, top: int = 4) -> NewSession:
+    return NewSession(ref, cls, ref, title, left, top, 0, 12)
+
+
+def started(settings: Settings, servers: tuple[Server, ...], now: float = 0.0, handed: bool = True) -> Front:
+    """A front with a fresh list on which every server is proven by a session handed over."""
+    front = Front(settings, 5)
+    events: list[Event] = [ServerList(ListKind.CACHED, 1, servers), ServerList(ListKind.FULL, 2, servers)]
+    if handed:
+        events += [HandedOver(request(9000 + n, title=900 + n), s.id) for n, s in enumerate(servers)]
+        events += [Note(9000 + n, 0, s.id, NoteKind.RUNG, 0.0) for n, s in enumerate(servers)]
+    front.handle(now, events)
+    return front
+
+
+def of(actions: list[Action], kind: type) -> list[Action]:
+    return [a for a in actions if isinstance(a, kind)]
+
+
+class World:
+    """Random servers and viewers that obey the wire, and a check of the rules on each action."""
+
+    def __init__(self, seed: int, settings: Settings) -> None:
+        self.random = Random(seed)
+        self.settings = settings
+        self.now = 1000.0
+        self.front = Front(settings, seed)
+        self.servers = {s.id: s for s in make_servers(8)}
+        self.due: list[tuple[float, int, Event]] = []
+        self.live: dict[int, NewSession] = {}
+        self.born: dict[int, float] = {}
+        self.out: dict[int, tuple[int, int]] = {}  # request: attempt, server
+        self.playing: dict[int, int] = {}
+        self.ran: dict[int, bool] = {}
+        self.attempts: dict[int, int] = {}
+        self.answered: dict[int, int] = {}
+        self.forbidden: dict[int, bool] = {}
+        self.retries: list[float] = []
+        self.log: list[Action] = []
+        self.count = 0
+
+    def later(self, after: float, event: Event) -> None:
+        self.count += 1
+        self.due.append((self.now + after, self.count, event))
+
+    def run(self, steps: int) -> None:
+        self.step([ServerList(ListKind.CACHED, 1, tuple(self.servers.values()))])
+        for n in range(steps):
+            self.now += self.random.choice([10.0, 50.0, 200.0])
+            ready = sorted(d for d in self.due if d[0] <= self.now)
+            self.due = [d for d in self.due if d[0] > self.now]
+            events: list[Event] = [e for d in ready if (e := self.real(d[2])) is not None]
+            if self.random.random() < 0.5:
+                cls = self.random.randrange(2)
+                new = request(n, cls, self.random.randrange(4), self.settings.classes[cls].deadline_ms)
+                self.live[n], self.born[n], self.attempts[n], self.ran[n] = new, self.now, 0, False
+                self.answered[n] = 0
+                events.append(new)
+            if self.random.random() < 0.03:
+                server = self.random.choice(list(self.servers.values()))
+                state = self.random.choice(list(ServerState))
+                self.servers[server.id] = replace(server, state=state)
+                self.forbidden[server.id] = state != ServerState.READY
+                events.insert(0, ServerList(ListKind.CHANGES, n, (self.servers[server.id],)))
+            self.step(events)
+
+    def real(self, event: Event) -> Event | None:
+        if isinstance(event, Playing):
+            if self.out.get(event.id, (-1, 0))[0] != event.attempt:
+                return None
+            self.playing[event.id] = event.server
+            self.answered[event.id] += 1
+            self.live.pop(event.id, None)
+        if isinstance(event, AttemptEnded):
+            if self.out.get(event.id, (-1, 0))[0] != event.attempt:
+                return None
+            del self.out[event.id]
+            self.playing.pop(event.id, None)
+            if not event.closed:
+                self.ran[event.id] |= event.outcome in RAN
+        if isinstance(event, Note) and event.id not in self.playing:
+            return None
+        return event
+
+    def step(self, events: list[Event]) -> None:
+        actions = self.front.handle(self.now, events)
+        self.log += actions
+        for a in actions:
+            self.check(a)
+        for ref, new in list(self.live.items()):  # rule 1: an answer by the deadline
+            assert ref in self.out or self.answered[ref] == 1, "a request is held"
+            assert self.now <= self.born[ref] + new.left_ms + 250
+
+    def check(self, a: Action) -> None:
+        if isinstance(a, SetTimer):
+            self.later(a.after_ms, TimerDue(a.token))
+        elif isinstance(a, SetRung):
+            new = self.live.get(a.id)
+            if new is not None:
+                assert self.settings.classes[new.cls].floor <= a.rung <= new.top  # rule 5
+        elif isinstance(a, Refuse | Fail):
+            self.answered[a.id] += 1
+            assert self.answered[a.id] == 1 and a.id not in self.out  # rule 1
+            if isinstance(a, Refuse) and self.live[a.id].cls == 0:
+                assert not self.ran[a.id]  # rule 2
+            del self.live[a.id]
+        elif isinstance(a, SetUp):
+            self.check_set_up(a)
+
+    def check_set_up(self, a: SetUp) -> None:
+        new = self.live[a.id]
+        assert a.id not in self.out, "two attempts at once"
+        assert not self.forbidden.get(a.server), "told draining or gone"  # rule 3
+        assert not (new.cls == 0 and self.ran[a.id]), "paid set-up repeated"  # rule 2
+        same = [r for r in self.out if (self.titles[r]) == (new.cls, new.title)]
+        seats = self.settings.classes[new.cls].seats
+        assert not seats or len(same) < seats  # rule 5
+        attempt = self.attempts[a.id]
+        assert attempt < self.settings.max_attempts
+        if attempt and self.settings.retry_free is not None:  # rule 6
+            since = self.now - self.settings.retry_span_ms
+            self.retries = [t for t in self.retries if t > since] + [self.now]
+            taken = sum(1 for t in self.born.values() if t > since)
+            assert len(self.retries) <= self.settings.retry_free + self.settings.retry_share * taken
+        self.attempts[a.id] += 1
+        self.out[a.id] = (attempt, a.server)
+        self.titles[a.id] = (new.cls, new.title)
+        left = self.born[a.id] + new.left_ms - self.now
+        limit = min(a.timeout_ms or left, left)
+        fate = self.random.random()
+        if fate < 0.6:
+            self.later(60.0, Playing(a.id, attempt, a.server, 60.0))
+            self.later(80.0, Note(a.id, attempt, a.server, NoteKind.LINK, self.random.random() * 1.3))
+            end = self.random.choice([Outcome.OK, Outcome.RESET, Outcome.CANCELLED])
+            self.later(
+                100 + self.random.random() * 20000, AttemptEnded(a.id, attempt, a.server, end, True, 9.0)
+            )
+        elif fate < 0.8:
+            self.later(limit, AttemptEnded(a.id, attempt, a.server, Outcome.TIMEOUT, False, limit))
+        else:
+            failed = self.random.choice([*RAN[:3], Outcome.FULL, Outcome.CONNECT_FAILED])
+            self.later(min(limit, 30.0), AttemptEnded(a.id, attempt, a.server, failed, False, 30.0))
+
+    @property
+    def titles(self) -> dict[int, tuple[int, int]]:
+        return self.__dict__.setdefault("_titles", {})
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_rules_hold_on_random_days(seed: int) -> None:
+    rationed = {"retry_free": 2.0, "retry_share": 0.1, "retry_span_ms": 5000.0} if seed % 2 else {}
+    fields = ("x0", "x1") if seed % 3 else ("utilization",)
+    world = World(seed, make_settings(report_fields=fields, **rationed))
+    world.run(1500)
+    assert of(world.log, SetUp) and of(world.log, Refuse) and of(world.log, Fail)
+    world.now += 60000
+    last = sorted(world.due)
+    world.due = []
+    world.step([e for d in last if (e := world.real(d[2])) is not None])
+    held = world.front.sessions
+    assert len(held) == len(world.out), "state is dropped with its sessions"
+
+
+def test_same_events_same_actions_under_other_hash_seeds() -> None:
+    code = (
+        "import sys; sys.path.insert(0, 'tests')\n"
+        "from test_front import World, make_settings\n"
+        "w = World(3, make_settings()); w.run(400); print(w.log)"
+    )
+    runs = [
+        subprocess.run(
+            [sys.executable, "-c", code], env={"PYTHONHASHSEED": s}, capture_output=True, check=True
+        ).stdout
+        for s in ("1", "2")
+    ]
+    assert len(runs[0]) > 1000 and runs[0] == runs[1]
+
+
+def test_paid_set_up_that_may_have_run_fails_and_is_not_sent_again(settings: Settings) -> None:
+    front = started(settings, make_servers())
+    (sent,) = of(front.handle(20000.0, [request(1, cls=0)]), SetUp)
+    end = AttemptEnded(1, 0, sent.server, Outcome.ERROR, False, 5.0)
+    assert of(front.handle(20010.0, [end]), SetUp | Refuse | Fail) == [Fail(1)]
+
+
+def test_paid_set_up_that_never_ran_goes_to_another_server(settings: Settings) -> None:
+    front = started(settings, make_servers())
+    (sent,) = of(front.handle(20000.0, [request(1, cls=0)]), SetUp)
+    end = AttemptEnded(1, 0, sent.server, Outcome.CONNECT_FAILED, False, 5.0)
+    (again,) = of(front.handle(20010.0, [end]), SetUp)
+    assert again.server != sent.server
+
+
+def test_told_draining_binds_what_came_earlier_in_the_batch(settings: Settings) -> None:
+    servers = make_servers(2)
+    front = started(settings, servers)
+    drained = replace(servers[0], state=ServerState.DRAINING)
+    events: list[Event] = [request(n) for n in range(6)]
+    actions = front.handle(20000.0, [*events, ServerList(ListKind.CHANGES, 3, (drained,))])
+    assert of(actions, SetUp) and all(a.server != servers[0].id for a in of(actions, SetUp))
+
+
+def test_no_holder_is_refused_at_once(settings: Settings) -> None:
+    front = Front(settings, 1)
+    assert of(front.handle(0.0, [request(1)]), Refuse) == [Refuse(1, 500.0)]
+
+
+def test_time_out_at_the_deadline_is_answered_in_its_batch(settings: Settings) -> None:
+    front = started(settings, make_servers())
+    (sent,) = of(front.handle(20000.0, [request(1)]), SetUp)
+    end = AttemptEnded(1, 0, sent.server, Outcome.TIMEOUT, False, 4000.0)
+    assert of(front.handle(24000.0, [end]), SetUp | Refuse | Fail) == [Refuse(1, 500.0)]
+
+
+@pytest.mark.parametrize("fronts", [1, 3])
+def test_cold_server_takes_set_ups_at_its_pace_from_all_fronts(fronts: int) -> None:
+    cold = make_servers(1, ready_at=1000.0)
+    group = [started(make_settings(fronts=fronts, index=n), cold, 1000.0, False) for n in range(fronts)]
+    sent: list[float] = []
+    for n in range(600):
+        now = 1000.0 + n * 10
+        for k, front in enumerate(group):
+            sent += [now for _ in of(front.handle(now, [request(n * 10 + k, top=0)]), SetUp)]
+    gap = 12000.0 / 27 / 0.4 * COLD_MARGIN
+    assert len(sent) > 2
+    assert all(later - earlier > gap / 2 for earlier, later in zip(sent, sent[1:], strict=False))
+
+
+def test_restart_that_the_list_has_not_told_is_cold(settings: Settings) -> None:
+    """A server that reset its sessions comes back cold long before the list says so."""
+    front = started(settings, make_servers(1))
+    front.handle(20000.0, [AttemptEnded(9000, 0, 100, Outcome.RESET, True, 9.0)])
+    sent = 0
+    for n in range(300):
+        now = 23000.0 + n * 10
+        for a in of(front.handle(now, [request(n, top=0)]), SetUp):
+            sent += 1
+            front.handle(now, [Playing(a.id, 0, 100, 1.0)])
+    assert sent == 1
+
+
+def test_failing_server_is_left_alone_then_tried_once(settings: Settings) -> None:
+    front = started(settings, make_servers(4))
+    front.handle(20000.0, [AttemptEnded(9000, 0, 100, Outcome.RESET, True, 9.0)])
+    at_once = [a for n in range(12) for a in of(front.handle(20010.0, [request(n)]), SetUp)]
+    assert at_once and all(a.server != 100 for a in at_once)
+    later = [a for n in range(40) for a in of(front.handle(23000.0, [request(100 + n)]), SetUp)]
+    assert sum(a.server == 100 for a in later) <= 1
+
+
+def test_when_most_servers_fail_the_fleet_is_blamed(settings: Settings) -> None:
+    front = started(settings, make_servers(4))
+    ends: list[Event] = [AttemptEnded(9000 + n, 0, 100 + n, Outcome.RESET, True, 9.0) for n in range(4)]
+    front.handle(20000.0, ends)
+    assert of(front.handle(30000.0, [request(1)]), SetUp)
+
+
+def test_neighbour_on_one_link_does_not_cut_its_rack() -> None:
+    """Shares short on one server only are its link's: the rack's other sessions keep their rung."""
+    front = started(make_settings(report_fields=("utilization",)), make_servers(6))
+    before = front.racks[0].limit
+    front.handle(20000.0, [Note(9000, 0, 100, NoteKind.SHARE, 0.5)])
+    assert front.racks[0].limit == before
+    mates = [n for n in range(6) if n % 3 == 0]
+    front.handle(24000.0, [Note(9000 + n, 0, 100 + n, NoteKind.SHARE, 0.5) for n in mates])
+    assert front.racks[0].limit < before
+
+
+def test_over_asked_link_steps_low_sessions_down(settings: Settings) -> None:
+    front = started(settings, make_servers(1))
+    notes: list[Event] = [Note(9000, 0, 100, NoteKind.RUNG, 4.0), Note(9000, 0, 100, NoteKind.LINK, 1.6)]
+    front.handle(20000.0, notes)
+    assert [a.rung < 4 for a in of(front.handle(20500.0, [TimerDue(0)]), SetRung)] == [True]
+
+
+def test_viewer_gone_while_its_set_up_is_out_frees_its_seat_only_with_the_report(settings: Settings) -> None:
+    front = started(settings, make_servers())
+    sent = [a for n in (1, 2) for a in of(front.handle(20000.0, [request(n, cls=0)]), SetUp)]
+    front.handle(20010.0, [ViewerGone(1), ViewerGone(2)])
+    assert of(front.handle(20020.0, [request(3, cls=0)]), SetUp | Refuse) == [Refuse(3, 500.0)]
+    front.handle(20030.0, [AttemptEnded(1, 0, sent[0].server, Outcome.CANCELLED, True, 9.0)])
+    assert of(front.handle(20040.0, [request(4, cls=0)]), SetUp)
+
+
+def test_sub_rating_degrades_alpha_low_sessions_once_and_gives_the_rung_back(settings: Settings) -> None:
+    front = started(settings, make_servers(1), handed=False)
+    box = front.boxes[100]
+    handed = [HandedOver(request(n, title=n), 100) for n in range(4)]
+    front.handle(20000.0, [*handed, *(Note(n, 0, 100, NoteKind.RUNG, 2.0) for n in range(4))])
+    box.link.hear(20000.0, 0.92, 0.0)  # just at the target: no room
+    actions = front.handle(20010.0, [request(50, cls=0, title=50)])
+    lowered = {a.id: a.rung for a in of(actions, SetRung) if a.id < 4}
+    assert len(lowered) == 2 and of(actions, SetUp)
+    box.link.hear(20020.0, 0.5, 0.0)
+    front.handle(20100.0, [Playing(50, 0, 100, 60.0)])
+    back = front.handle(20200.0, [AttemptEnded(50, 0, 100, Outcome.OK, True, 190.0)])
+    assert {a.id: a.rung for a in of(back, SetRung)} == dict.fromkeys(lowered, 2)
