--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -45,9 +45,8 @@
 EVIDENCE_PROVEN = 0.5  # evidence above which no paid session is sent
 BACKOFF_MS = 1500.0  # first rest of a barred server; doubles up to the cap
 BACKOFF_CAP_MS = 8000.0
-BLAME: dict[
-    int, tuple[float, bool]
-] = {  # evidence of an attempt's end, and whether the server may have restarted since
+# Evidence of an attempt's end, and whether the server may have restarted since.
+BLAME: dict[int, tuple[float, bool]] = {
     Outcome.CONNECT_FAILED: (EVIDENCE_BAR, True),
     Outcome.RESET: (EVIDENCE_BAR, True),
     Outcome.TIMEOUT: (1.0, True),
@@ -307,7 +306,8 @@
 
     def on_new(self, told: i.NewSession) -> None:
         s = self.session(told, self.over_share(told.tenant))
-        self.taken.append(self.now)
+        if self.settings.retry_free is not None:
+            self.taken.append(self.now)
         self.decay_counts()
         self.counts[s.premium] += 1.0
         self.worths[s.premium] += GAIN * (s.plan.worth - self.worths[s.premium])
@@ -392,12 +392,10 @@
 
     def level(self, box: Box, plan: Plan | None) -> int:
         """The lowest price level at which the own sessions, and one more of `plan`, fit every pipe."""
-        level = 0
+        level, more = 0, plan.rates if plan else [0.0] * len(self.levels)
         for pipe in box.pipes:
             budget = self.budget(pipe)
-            while level < len(self.levels) - 1:
-                if pipe.want[level] + (plan.rates[level] if plan else 0.0) <= budget:
-                    break
+            while level < len(self.levels) - 1 and pipe.want[level] + more[level] > budget:
                 level += 1
         return level
 
@@ -419,7 +417,7 @@
                     self.send(s, box, rung, part)
                     return
         for box in pair:
-            if s.premium and self.sub_rate(box, s):
+            if (s.premium and self.sub_rate(box, s)) or self.make_room(box, s):
                 self.send(s, box, s.plan.floor, "pool")
                 return
         self.give_up(s)
@@ -453,6 +451,21 @@
             need -= before - low.kb
         return True
 
+    def make_room(self, box: Box, s: Session) -> bool:
+        """Sub-rating extended to whoever would be refused: own sessions over the common level drop to it.
+
+        The paper finds no gain in this for a low session, its slots being equal; here the first rungs
+        earn the most a kB, so the worth given up is less than that of the session let in.
+        """
+        need, level = s.plan.kb[s.plan.floor], self.level(box, s.plan)
+        over = [o for o in box.sessions.values() if o.playing and o.rung > o.plan.rungs[level]]
+        if self.room(box) + sum(o.kb - o.plan.rates[level] for o in over) < need:
+            return False
+        for o in sorted(over, key=lambda o: o.plan.rates[level] - o.kb):
+            if self.room(box) < need:
+                self.set_rung(o, o.plan.rungs[level])
+        return True
+
     def restore(self, box: Box) -> None:
         """A premium session ended here: the sub-rated regain their rung where it fits."""
         for low in box.sessions.values():
