--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -31,7 +31,7 @@
 NO_REPORTS_MS = 10000.0  # the same where no period is told
 TICK_MS = 500.0  # rung control and quota upkeep
 CUT_ABOVE = 1.03  # own use over its budget that starts a step down: reports wander by a few points
-LIFT_BELOW = 0.92  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
+LIFT_BELOW = 0.97  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
 SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
 SHARE_FRESH_MS = 2200.0  # a share is told each second while it is short: two periods and some delay
 SHORT_CUT = 0.97  # of what an uplink was seen to give: shares come smoothed, so the first tells too little
@@ -417,7 +417,7 @@
                     self.send(s, box, rung, part)
                     return
         for box in pair:
-            if (s.premium and self.sub_rate(box, s)) or self.make_room(box, s):
+            if s.premium and self.sub_rate(box, s):
                 self.send(s, box, s.plan.floor, "pool")
                 return
         self.give_up(s)
@@ -451,21 +451,6 @@
             need -= before - low.kb
         return True
 
-    def make_room(self, box: Box, s: Session) -> bool:
-        """Sub-rating extended to whoever would be refused: own sessions over the common level drop to it.
-
-        The paper finds no gain in this for a low session, its slots being equal; here the first rungs
-        earn the most a kB, so the worth given up is less than that of the session let in.
-        """
-        need, level = s.plan.kb[s.plan.floor], self.level(box, s.plan)
-        over = [o for o in box.sessions.values() if o.playing and o.rung > o.plan.rungs[level]]
-        if self.room(box) + sum(o.kb - o.plan.rates[level] for o in over) < need:
-            return False
-        for o in sorted(over, key=lambda o: o.plan.rates[level] - o.kb):
-            if self.room(box) < need:
-                self.set_rung(o, o.plan.rungs[level])
-        return True
-
     def restore(self, box: Box) -> None:
         """A premium session ended here: the sub-rated regain their rung where it fits."""
         for low in box.sessions.values():
