--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -24,14 +24,16 @@
 GAIN = 0.1  # weight of the newest in running means of set-up times, lengths and worths
 FIRST_LENGTH_MS = 40000.0  # length of a session before any was seen to end; only scales the quotas
 TARGET = 1.0  # part of a link or uplink that may be asked: true rates and reports wander round the told
-BLIND = 0.8  # of the target, when no report has come for a while: grow cautious
+FULL_BELOW = 0.92  # of the link use at which a server turns set-ups away
+BLIND = 0.75  # of what is given, when no report has come for a while: grow cautious
 LEDGER_MS = 5000.0  # own use is remembered this long: reports are late by less
 SMOOTH = 0.6  # weight of the newest report of other use against the older ones (reports are noisy)
 STALE_PERIODS = 2.5  # report periods without a report after which the own ledger alone decides
 NO_REPORTS_MS = 10000.0  # the same where no period is told
 TICK_MS = 500.0  # rung control and quota upkeep
 CUT_ABOVE = 1.03  # own use over its budget that starts a step down: reports wander by a few points
-LIFT_BELOW = 0.95  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
+LIFT_BELOW = 0.92  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
+START_LIMIT = 0.92  # of this front's part of a told uplink, before any shortfall tells
 SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
 SHARE_FRESH_MS = 2200.0  # a share is told each second while it is short: two periods and some delay
 SHORT_CUT = 0.97  # of what an uplink was seen to give: shares come smoothed, so the first tells too little
@@ -131,8 +133,8 @@
 class Pipe:
     """A server's link or a rack's uplink: what it gives, what this front asks of it, and the rest."""
 
-    def __init__(self, cap: float, levels: int) -> None:
-        self.cap = cap
+    def __init__(self, cap: float, levels: int, target: float = TARGET) -> None:
+        self.cap, self.target = cap, target
         self.own = 0.0
         self.want = [0.0] * levels  # own sessions' rates at each price level
         self.past: deque[tuple[float, float]] = deque()  # (time, own use up to then)
@@ -291,14 +293,15 @@
 
     def new_box(self, told: i.Server, mean_places: float) -> Box:
         size = told.weight if self.settings.weights_tell_size else self.places(told) / mean_places
-        link = Pipe(max(1.0, self.settings.link_kb_per_weight * size), len(self.levels))
+        most = min(TARGET, FULL_BELOW * self.settings.full_from or TARGET)
+        link = Pipe(max(1.0, self.settings.link_kb_per_weight * size), len(self.levels), most)
         uplink = None
         if self.settings.racks and self.settings.uplink_kb:
             rack = told.cell % self.settings.racks
             if rack not in self.racks:
                 self.racks[rack] = Pipe(self.settings.uplink_kb, len(self.levels))
                 if "x1" not in self.settings.report_fields:
-                    self.racks[rack].limit = TARGET * self.settings.uplink_kb / self.settings.fronts
+                    self.racks[rack].limit = START_LIMIT * self.settings.uplink_kb / self.settings.fronts
             uplink = self.racks[rack]
         return Box(told, link, uplink, self.now + self.random.random() * QUOTA_PERIOD_MS)
 
@@ -380,12 +383,11 @@
         period = self.settings.reports_every_ms
         patience = STALE_PERIODS * period + self.settings.told_late_ms if period else NO_REPORTS_MS
         if pipe.others is None or self.now - pipe.heard_at > patience:
-            return BLIND * TARGET * pipe.cap / self.settings.fronts
-        total = pipe.others + pipe.base
-        room = TARGET * pipe.cap - total
-        if room >= 0:
-            return pipe.base + room / self.settings.fronts
-        return pipe.base * TARGET * pipe.cap / total
+            return BLIND * pipe.cap / self.settings.fronts
+        total, most = pipe.others + pipe.base, pipe.target * pipe.cap
+        if total <= most:
+            return pipe.base + (most - total) / self.settings.fronts
+        return pipe.base * most / total
 
     def room(self, box: Box) -> float:
         return min(self.budget(p) - p.own for p in box.pipes)
