--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -36,6 +36,8 @@
 START_LIMIT = 0.92  # of this front's part of a told uplink, before any shortfall tells
 SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
 SHARE_FRESH_MS = 2200.0  # a share is told each second while it is short: two periods and some delay
+SHORT = 0.98  # a share under this is short (below it worth is lost)
+EXPLAINED = 0.9  # told use times the delivered share from which the one explains the other
 SHORT_CUT = 0.97  # of what an uplink was seen to give: shares come smoothed, so the first tells too little
 REGAIN = 0.004  # then, each tick, it is tried for so much more,
 REGAIN_CALM = 0.015  # or so much when it has been well for long
@@ -685,19 +687,31 @@
         if share < STALLED_SHARE:
             self.blame(box, EVIDENCE_BAR, False)
         box.share, box.share_at = share, self.now
-        up = box.uplink
-        if up is None or not up.limit or self.now - up.short_at < SHORT_HOLD_MS:
-            return  # what comes within the hold still tells of before the cut
         # An uplink falls short for all its servers alike, a link for one: the best-served server tells.
         best, mates = 0.0, 0
         for mate in self.boxes.values():
             since = min((s.started for s in mate.sessions.values() if s.playing), default=self.now)
-            if mate.uplink is up and self.now - since > SHARE_FRESH_MS:
+            if mate.uplink is box.uplink and self.now - since > SHARE_FRESH_MS:
                 mates += 1
                 best = max(best, mate.share if self.now - mate.share_at < SHARE_FRESH_MS else 1.0)
-        if best < 0.98 and (mates > 1 or box.link.load() * best < 0.9):
-            up.limit = SHORT_CUT * best * up.own_at(self.now - self.settings.told_late_ms)
-            up.short_at = self.now
+        if box.uplink and best < SHORT and (mates > 1 or box.link.load() * best < EXPLAINED):
+            self.found_short(box.uplink, best)
+        elif share < SHORT:
+            self.found_short(box.link, share)
+
+    def found_short(self, pipe: Pipe, share: float) -> None:
+        """A shortfall that the told use does not explain: reports stay out or lie, or none are made.
+
+        It stands for the report. What comes within the hold still tells of before the cut. It would do
+        harm where viewers' own networks were counted as the server's shortfall.
+        """
+        if self.now - pipe.short_at < SHORT_HOLD_MS or (not pipe.limit and pipe.load() * share > EXPLAINED):
+            return
+        pipe.short_at = self.now
+        if pipe.limit:
+            pipe.limit = SHORT_CUT * share * pipe.own_at(self.now - self.settings.told_late_ms)
+        else:
+            pipe.hear(self.now, 1 / share, self.settings.told_late_ms)
 
     def on_tick(self, _: i.TimerDue) -> None:
         self.out.append(i.SetTimer(0, TICK_MS))
