--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -684,11 +684,12 @@
             self.on_share(box, event.value)
 
     def on_share(self, box: Box, share: float) -> None:
-        if share < STALLED_SHARE:
-            self.blame(box, EVIDENCE_BAR, False)
         box.share, box.share_at = share, self.now
+        if share < STALLED_SHARE:  # it stands still: no matter of rates
+            self.blame(box, EVIDENCE_BAR, False)
+            return
         # An uplink falls short for all its servers alike, a link for one: the best-served server tells.
-        best, mates = 0.0, 0
+        best, mates = share, 0
         for mate in self.boxes.values():
             since = min((s.started for s in mate.sessions.values() if s.playing), default=self.now)
             if mate.uplink is box.uplink and self.now - since > SHARE_FRESH_MS:
