--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -38,10 +38,7 @@
 SHARE_FRESH_MS = 2200.0  # a share is told each second while it is short: two periods and some delay
 SHORT = 0.98  # a share under this is short (below it worth is lost)
 EXPLAINED = 0.9  # told use times the delivered share from which the one explains the other
-SHORT_CUT = 0.97  # of what an uplink was seen to give: shares come smoothed, so the first tells too little
-REGAIN = 0.004  # then, each tick, it is tried for so much more,
-REGAIN_CALM = 0.015  # or so much when it has been well for long
-LONG_CALM_MS = 10000.0
+REGAIN = 0.01  # then, each tick, it is tried for so much more
 LIMIT_OVER = 1.2  # over own use: a limit that is not tried is no knowledge
 DWELL_UP_MS = 8000.0  # a session is not lifted sooner after its last change: keeps under 3 steps a minute
 DWELL_DOWN_MS = 1500.0  # nor cut again before a report can tell of the last cut
@@ -710,16 +707,17 @@
             return
         pipe.short_at = self.now
         if pipe.limit:
-            pipe.limit = SHORT_CUT * share * pipe.own_at(self.now - self.settings.told_late_ms)
+            pipe.limit = share * pipe.own_at(self.now - self.settings.told_late_ms)
         else:
             pipe.hear(self.now, 1 / share, self.settings.told_late_ms)
 
     def on_tick(self, _: i.TimerDue) -> None:
         self.out.append(i.SetTimer(0, TICK_MS))
         for up in self.racks.values():
-            calm = self.now - up.short_at
-            if calm > SHORT_HOLD_MS and up.limit < max(up.cap / self.settings.fronts, LIMIT_OVER * up.own):
-                up.limit *= 1 + (REGAIN if calm < LONG_CALM_MS else REGAIN_CALM)
+            if self.now - up.short_at > SHORT_HOLD_MS and up.limit < max(
+                up.cap / self.settings.fronts, LIMIT_OVER * up.own
+            ):
+                up.limit *= 1 + REGAIN
         for box in self.boxes.values():
             if self.now >= box.quota_at:
                 self.set_quota(box)
