--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -174,7 +174,7 @@
         self.quota, self.quota_at, self.slot_kb = (0, 0), now, 1.0
         self.share, self.share_at = 1.0, float("-inf")  # last told share of the rates delivered
         self.evidence, self.barred_until, self.backoff = 0.0, float("-inf"), BACKOFF_MS
-        self.trial: int | None = None
+        self.trial: int | None = None  # the one session that tries it again
         self.proven = False
         self.failed_at = float("-inf")  # of a failure after which it may have restarted
         self.cold_until = self.cold_sent = float("-inf")
@@ -201,25 +201,21 @@
 
 class Front:
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        self.settings = settings
-        self.random = Random(seed)
-        self.now = 0.0
+        self.settings, self.random, self.now = settings, Random(seed), 0.0
         self.out: list[i.Action] = []
         self.boxes: dict[int, Box] = {}
         self.racks: dict[int, Pipe] = {}
         self.sessions: dict[int, Session] = {}
         self.seats: dict[tuple[int, int], int] = {}
         self.born: float | None = None
-        self.list_fresh = False
-        self.ticking = False
+        self.list_fresh = self.ticking = False
         self.cheapest = min(c.worth for c in settings.classes)
-        self.counts = [0.0, 0.0]  # decayed arrivals: low, premium
-        self.counted_at = 0.0
+        self.counts, self.counted_at = [0.0, 0.0], 0.0  # decayed arrivals: low, premium
         self.worths = [self.cheapest, self.cheapest]
         self.length_ms = FIRST_LENGTH_MS
         self.set_up_ms, self.set_up_spread = FIRST_SET_UP_MS, FIRST_SET_UP_MS / 2
         self.splits: dict[tuple[int, int, int], tuple[int, int]] = {}
-        self.taken: deque[float] = deque()
+        self.taken: deque[float] = deque()  # kept only where further attempts are rationed
         self.retried: deque[float] = deque()
         self.tenant_room: dict[int, tuple[float, float]] = {}
         self.plans: dict[tuple[int, bool, int], Plan] = {}
@@ -471,9 +467,7 @@
         fit = [b for b in ready if self.healthy(b, paid)]
         if paid and not fit:
             fit = [b for b in ready if self.healthy(b, False) and b.evidence == 0 and b.trial is None]
-        if len(fit) > 2:
-            fit = self.random.sample(fit, 2)
-        return sorted(fit, key=lambda b: max(p.load() for p in b.pipes))
+        return sorted(self.random.sample(fit, min(2, len(fit))), key=lambda b: max(p.load() for p in b.pipes))
 
     # Health
 
@@ -502,17 +496,13 @@
 
     # Cold starts
 
-    def cold_gap(self, box: Box) -> float:
-        """Time between set-ups that a server just started can take from all fronts together."""
-        pace = self.places(box.told) * self.settings.cold_from / self.settings.warm_within_ms
-        return COLD_MARGIN / max(1e-9, pace)
-
     def warm_enough(self, box: Box) -> bool:
         """Cold servers: one set-up a turn. The turns run from the told start, so that fronts alternate."""
         warm = self.settings.warm_within_ms
         if warm <= 0:
             return True
-        gap = self.cold_gap(box)
+        pace = max(1e-9, self.places(box.told) * self.settings.cold_from / warm)  # of all fronts together
+        gap = COLD_MARGIN / pace
         start = box.told.ready_at
         if start > 0 and self.now < start + warm and box.failed_at == float("-inf"):
             turn = (self.now - start) / gap
@@ -527,17 +517,15 @@
     def send(self, s: Session, box: Box, rung: int, part: str) -> None:
         if rung != s.cls.floor or s.attempts:
             self.out.append(i.SetRung(s.told.id, rung))
-        left = s.deadline - self.now
-        timeout = 0.0
+        left, timeout = s.deadline - self.now, 0.0
         if s.cls.repeat == Repeat.SAFE and s.attempts + 1 < self.settings.max_attempts:
             usual = self.set_up_ms + SET_UP_SPREADS * self.set_up_spread
             timeout = min(max(usual, self.settings.connect_timeout_ms), left / 2)
         self.out.append(i.SetUp(s.told.id, box.told.id, timeout))
-        if s.attempts:
+        if s.attempts and self.settings.retry_free is not None:
             self.retried.append(self.now)
-        s.attempts += 1
+        s.attempts, s.rung, s.part = s.attempts + 1, rung, part
         s.tried.append(box.told.id)
-        s.rung, s.part = rung, part
         if box.evidence >= EVIDENCE_BAR:
             box.trial = s.told.id
         box.cold_sent = self.now
@@ -576,9 +564,8 @@
         s.rung, s.kb = rung, s.plan.kb[rung]
 
     def may_retry(self, s: Session) -> bool:
-        if s.attempts >= self.settings.max_attempts or s.deadline - self.now < MIN_ATTEMPT_MS:
-            return False
-        if s.maybe_ran and s.cls.repeat != Repeat.SAFE:
+        spent = s.attempts >= self.settings.max_attempts or s.deadline - self.now < MIN_ATTEMPT_MS
+        if spent or (s.maybe_ran and s.cls.repeat != Repeat.SAFE):
             return False
         if s.attempts == 0 or self.settings.retry_free is None:
             return True
@@ -668,17 +655,14 @@
         lag = 0.0 if s.first_note and s.attempts else self.settings.told_late_ms
         if event.kind == i.NoteKind.RUNG:
             self.set_rung(s, int(event.value), told=True)
-            s.first_note = False
         elif event.kind == i.NoteKind.LINK:
             box.link.hear(self.now, event.value, lag)
-            if "x1" not in self.settings.report_fields:
-                s.first_note = False
-        elif event.kind == i.NoteKind.UPLINK:
-            if box.uplink:
-                box.uplink.hear(self.now, event.value, lag)
-            s.first_note = False
+        elif event.kind == i.NoteKind.UPLINK and box.uplink:
+            box.uplink.hear(self.now, event.value, lag)
         elif event.kind == i.NoteKind.SHARE:
             self.on_share(box, event.value)
+        # The notes at set-up tell of now; that of the link comes first, then the uplink's.
+        s.first_note &= event.kind == i.NoteKind.LINK and "x1" in self.settings.report_fields
 
     def on_share(self, box: Box, share: float) -> None:
         box.share, box.share_at = share, self.now
@@ -714,9 +698,8 @@
     def on_tick(self, _: i.TimerDue) -> None:
         self.out.append(i.SetTimer(0, TICK_MS))
         for up in self.racks.values():
-            if self.now - up.short_at > SHORT_HOLD_MS and up.limit < max(
-                up.cap / self.settings.fronts, LIMIT_OVER * up.own
-            ):
+            most = max(up.cap / self.settings.fronts, LIMIT_OVER * up.own)
+            if self.now - up.short_at > SHORT_HOLD_MS and up.limit < most:
                 up.limit *= 1 + REGAIN
         for box in self.boxes.values():
             if self.now >= box.quota_at:
@@ -726,8 +709,6 @@
     def control(self, box: Box) -> None:
         """Rung control: cut to the level that fits when a pipe is over-asked, lift one when room stays."""
         playing = [s for s in box.sessions.values() if s.playing]
-        if not playing:
-            return
         level = self.level(box, None)
         over = [p for p in box.pipes if p.own > CUT_ABOVE * self.budget(p)]
         if over:
