--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -31,7 +31,7 @@
 STALE_PERIODS = 2.5  # report periods without a report after which the own ledger alone decides
 NO_REPORTS_MS = 10000.0  # the same where no period is told
 TICK_MS = 500.0  # rung control and quota upkeep
-CUT_ABOVE = 1.08  # own use over its budget that starts a step down: reports wander by a few points
+CUT_ABOVE = 1.03  # own use over its budget that starts a step down: reports wander by a few points
 LIFT_BELOW = 0.9  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
 START_LIMIT = 0.92  # of this front's part of a told uplink, before any shortfall tells
 SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
@@ -40,7 +40,7 @@
 EXPLAINED = 0.9  # told use times the delivered share from which the one explains the other
 REGAIN = 0.01  # then, each tick, it is tried for so much more
 LIMIT_OVER = 1.2  # over own use: a limit that is not tried is no knowledge
-DWELL_UP_MS = 8000.0  # a session is not lifted sooner after its last change: keeps under 3 steps a minute
+DWELL_UP = 11.0  # switch costs for which a rung is kept before a lift: a lift must have time to pay for it
 DWELL_DOWN_MS = 1500.0  # nor cut again before a report can tell of the last cut
 EVIDENCE_BAR = 1.5  # evidence at which a server is left alone: two failures nearly in a row
 EVIDENCE_PROVEN = 0.5  # evidence above which no paid session is sent
@@ -719,7 +719,8 @@
                         return
             return
         room = self.lift_room(box)
-        ready = [s for s in playing if s.rung < s.plan.top and self.now - s.changed_at > DWELL_UP_MS]
+        dwell = 1000 * DWELL_UP * self.settings.switch_cost_s
+        ready = [s for s in playing if s.rung < s.plan.top and self.now - s.changed_at > dwell]
         for s in sorted(ready, key=lambda s: -s.plan.prices[s.rung - s.plan.floor]):
             for rung in range(max(s.plan.rungs[level], s.rung + 1), s.rung, -1):
                 if s.plan.kb[rung] - s.kb <= room:
