--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -55,8 +55,7 @@
 }
 FLEET_PART = 0.5  # part of the servers barred at once above which the fleet is blamed, not the servers
 STALLED_SHARE = 0.15  # delivered share under which a server is taken to stand still
-DRAIN_SAVES_S = 4.0  # seconds of play that a move saves: a break and those who then stay away,
-STALL_SAVES_S = 10.0  # or the time that a server stands still
+DRAIN_SAVES_S = 4.0  # seconds of play that a move off a draining server saves: the break, and who stays away
 MOVES_A_TICK = 3  # from one server: those moved come back to the others at once
 FIRST_SET_UP_MS = 150.0  # set-up time before any was seen
 SET_UP_SPREADS = 4.0  # spreads over the usual set-up time at which an attempt is given up
@@ -179,7 +178,6 @@
         self.evidence, self.barred_until, self.backoff = 0.0, float("-inf"), BACKOFF_MS
         self.trial: int | None = None  # the one session that tries it again
         self.proven = False
-        self.stalled = 0  # notes in a row that it delivers next to nothing
         self.failed_at = float("-inf")  # of a failure after which it may have restarted
         self.cold_until = self.cold_sent = float("-inf")
 
@@ -670,7 +668,6 @@
 
     def on_share(self, box: Box, share: float) -> None:
         box.share, box.share_at = share, self.now
-        box.stalled = box.stalled + 1 if share < STALLED_SHARE else 0
         if share < STALLED_SHARE:  # it stands still: no matter of rates
             self.blame(box, EVIDENCE_BAR, False)
             return
@@ -714,10 +711,9 @@
     def control(self, box: Box) -> None:
         """Rung control: cut to the level that fits when a pipe is over-asked, lift one when room stays."""
         playing = [s for s in box.sessions.values() if s.playing]
-        if box.told.state == ServerState.DRAINING or box.stalled > 1:
-            saved = DRAIN_SAVES_S if box.stalled < 2 else STALL_SAVES_S
+        if box.told.state == ServerState.DRAINING:
             price = self.settings.move_cost * self.length_ms / 1000 * sum(self.worths) / 2
-            for s in [s for s in playing if saved * s.plan.worth > price][:MOVES_A_TICK]:
+            for s in [s for s in playing if DRAIN_SAVES_S * s.plan.worth > price][:MOVES_A_TICK]:
                 s.playing = False
                 self.out.append(i.Move(s.told.id))
             return
