--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -40,7 +40,7 @@
 EXPLAINED = 0.9  # told use times the delivered share from which the one explains the other
 REGAIN = 0.01  # then, each tick, it is tried for so much more
 LIMIT_OVER = 1.2  # over own use: a limit that is not tried is no knowledge
-DWELL_UP = 11.0  # switch costs for which a rung is kept before a lift: a lift must have time to pay for it
+DWELL_UP = 8.0  # switch costs for which a rung is kept before a lift: a lift must have time to pay for it
 DWELL_DOWN_MS = 1500.0  # nor cut again before a report can tell of the last cut
 EVIDENCE_BAR = 1.5  # evidence at which a server is left alone: two failures nearly in a row
 EVIDENCE_PROVEN = 0.5  # evidence above which no paid session is sent
@@ -55,8 +55,6 @@
 }
 FLEET_PART = 0.5  # part of the servers barred at once above which the fleet is blamed, not the servers
 STALLED_SHARE = 0.15  # delivered share under which a server is taken to stand still
-DRAIN_SAVES_S = 4.0  # seconds of play that a move off a draining server saves: the break, and who stays away
-MOVES_A_TICK = 3  # from one server: those moved come back to the others at once
 FIRST_SET_UP_MS = 150.0  # set-up time before any was seen
 SET_UP_SPREADS = 4.0  # spreads over the usual set-up time at which an attempt is given up
 MIN_ATTEMPT_MS = 120.0  # less time left than this is no use for another attempt
@@ -711,12 +709,6 @@
     def control(self, box: Box) -> None:
         """Rung control: cut to the level that fits when a pipe is over-asked, lift one when room stays."""
         playing = [s for s in box.sessions.values() if s.playing]
-        if box.told.state == ServerState.DRAINING:
-            price = self.settings.move_cost * self.length_ms / 1000 * sum(self.worths) / 2
-            for s in [s for s in playing if DRAIN_SAVES_S * s.plan.worth > price][:MOVES_A_TICK]:
-                s.playing = False
-                self.out.append(i.Move(s.told.id))
-            return
         level = self.level(box, None)
         over = [p for p in box.pipes if p.own > CUT_ABOVE * self.budget(p)]
         if over:
