--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -427,9 +427,10 @@
         unit = box.slot_kb / self.settings.fronts  # this front's part of the reserves, as of the room
         left_high = max(0.0, box.quota[0] * unit - box.held("high"))
         left_low = max(0.0, box.quota[1] * unit - box.held("low"))
-        if (left_high if premium else left_low) >= kb:
-            return "high" if premium else "low"
-        return "pool" if room - left_high - left_low >= kb else ""
+        left, kept = (left_high, left_low) if premium else (left_low, left_high)
+        if room - kept < kb:  # what is kept for the other class is not for this one
+            return ""
+        return ("high" if premium else "low") if left >= kb / 2 else "pool"  # slots do not divide evenly
 
     def sub_rate(self, box: Box, s: Session) -> bool:
         """Alpha low pool sessions drop enough rungs to free the premium session's rate together."""
