--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -165,8 +165,6 @@
 
 
 class Box:
-    """A server as this front knows it."""
-
     def __init__(self, told: i.Server, link: Pipe, uplink: Pipe | None, now: float) -> None:
         self.told, self.link, self.uplink = told, link, uplink
         self.pipes = [link] if uplink is None else [link, uplink]
@@ -468,6 +466,7 @@
         fit = [b for b in ready if self.healthy(b, paid)]
         if paid and not fit:
             fit = [b for b in ready if self.healthy(b, False) and b.evidence == 0 and b.trial is None]
+        fit = [b for b in fit if self.room(b) >= s.plan.kb[s.plan.floor]] or fit  # known full: no choice
         return sorted(self.random.sample(fit, min(2, len(fit))), key=lambda b: max(p.load() for p in b.pipes))
 
     # Health
