--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -331,12 +331,6 @@
     actions = front.handle(20010.0, [request(50, cls=0, title=50)])
     lowered = {a.id: a.rung for a in of(actions, SetRung) if a.id < 4}
     assert len(lowered) == 2 and of(actions, SetUp)
-    again: set[int] = set()
-    for ref in (51, 52, 53):
-        box.link.hear(20010.0 + ref, 1.0, 0.0)
-        acts = front.handle(20010.0 + ref, [request(ref, cls=0, title=ref)])
-        again |= {a.id for a in of(acts, SetRung) if a.id < 4}
-    assert not again & set(lowered), "each is degraded once"
     box.link.hear(20020.0, 0.5, 0.0)
     front.handle(20100.0, [Playing(50, 0, 100, 60.0)])
     back = front.handle(20200.0, [AttemptEnded(50, 0, 100, Outcome.OK, True, 190.0)])
@@ -398,3 +392,17 @@
         return [(type(a).__name__, getattr(a, "server", shift) - shift) for a in log]
 
     assert play(0) == play(5000)
+
+
+def test_a_session_is_sub_rated_once_only(settings: Settings) -> None:
+    front = started(settings, make_servers(1), handed=False)
+    box = front.boxes[100]
+    handed = [HandedOver(request(n, title=n), 100) for n in range(2)]
+    front.handle(20000.0, [*handed, *(Note(n, 0, 100, NoteKind.RUNG, 4.0) for n in range(2))])
+    taken = []
+    for ref in (50, 51):
+        now = 20000.0 + ref
+        box.link.hear(now, 1.2, 0.0)
+        taken.append(bool(of(front.handle(now, [request(ref, cls=0, title=ref)]), SetUp)))
+    assert front.sessions[0].rung > 0 and front.sessions[1].rung > 0, "they could fall further"
+    assert taken == [True, False]
