--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,11 +1,16 @@
 """The adapter as started by the deploy file, and the limits of the module's text."""
 
 import os
+import struct
 import subprocess
 import tomllib
 from pathlib import Path
 
 import pytest
+from test_wire import SETTINGS
+
+from lemonhall import wire
+from lemonhall.adapter import Host
 
 ROOT = Path(__file__).parent.parent
 EMPTY = bytes.fromhex("40c06e2000000000 00000014 00000000 00000001")
@@ -38,3 +43,22 @@
     lines = (ROOT / "lemonhall/decide.py").read_text().splitlines()
     assert 0 < sum(1 for line in lines if line.strip()) <= 650
     assert max(map(len, lines)) <= 110
+
+
+def test_exception_in_the_module_becomes_the_fault_action(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail(*_: object) -> list[object]:
+        raise ValueError("no such thing")
+
+    born = struct.pack(">BHQII", wire.BORN, 3, 1, 0, len(SETTINGS)).ljust(64, b"\0")
+    tail = SETTINGS.encode()
+    frame = wire.HEADER.pack(5.0, wire.HEADER.size + 64 + len(tail), 1, 9) + born + tail
+    assert Host().answer(frame)[12] == wire.SCHEDULE
+    monkeypatch.setattr("lemonhall.decide.Front.handle", fail)
+    reply = Host().answer(frame)
+    assert reply[12] == wire.BUG
+    assert reply.endswith(b"ValueError: no such thing")
+
+
+def test_names_in_the_settings_change_nothing() -> None:
+    renamed = SETTINGS + "classes.0.name=other\nareas=x,y\nmachineTypes=m\ncustomers.0.name=z\n"
+    assert wire.read_settings(renamed) == wire.read_settings(SETTINGS)
