--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -1,9 +1,7 @@
-"""The decisions of one front: who plays, on which server, at what rung.
+"""The decisions of one front: who plays, on which server, at what rung. `Front.handle` gives actions.
 
-Types, events and actions are in `lemonhall/interface.py`. A `Front` is told what happens through
-`handle(now, events)` and answers with actions. Times are milliseconds, rates kB a second.
-The order below is that of the design: quotas, pipes, admission and sub-rating, pick, then health,
-cold starts, attempts and rung control.
+Times are milliseconds, rates kB a second. The order is that of the design: quotas, pipes, admission and
+sub-rating, the pick; then health, cold starts, attempts and rung control.
 """
 
 from __future__ import annotations
@@ -18,47 +16,45 @@
 
 ALPHA = 2  # sessions sub-rated for one premium session (the paper's alpha)
 QUOTA_PERIOD_MS = 5000.0  # the quotas of a server are picked anew this often (design)
-FEW_COUNTS = 8.0  # arrivals (decayed count) under which every slot stays in the pool
+FEW_COUNTS = 6.0  # arrivals (decayed count) under which every slot stays in the pool
 QUOTA_BURST_S = 5.0  # a tenant may be this far ahead of its told rate before it counts as over its share
-RATE_WINDOW_MS = 20000.0  # memory of arrival rates and lengths; a third of a usual session's life
+QUOTA_CHANCE = 3.0  # and by so many sessions more: what a front sees of a rate is subject to chance
+RATE_WINDOW_MS = 60000.0  # memory of arrival rates: a front of many sees few arrivals a minute
 GAIN = 0.1  # weight of the newest in running means of set-up times, lengths and worths
 FIRST_LENGTH_MS = 40000.0  # length of a session before any was seen to end; only scales the quotas
 TARGET = 1.0  # part of a link or uplink that may be asked; lifts stop short of it, cuts begin past it
 FULL_BELOW = 0.92  # of the link use at which a server turns set-ups away
-BLIND = 0.75  # of what is given, when no report has come for a while: grow cautious
+FIRST_USE = 0.75  # use of the fleet before any report was heard: grow cautious
+SPREAD = 0.2  # of that use from server to server, before it was seen
+JUMP = 0.05  # of the same from report to report, before it was seen
+FADE_MS = 30000.0  # in which a report fades to what is usual elsewhere: most of a session's life
 LEDGER_MS = 5000.0  # own use is remembered this long: reports are late by less
 SMOOTH = 0.6  # weight of the newest report of other use against the older ones (reports are noisy)
-STALE_PERIODS = 2.5  # report periods without a report after which the own ledger alone decides
-NO_REPORTS_MS = 10000.0  # the same where no period is told
+STALE_MS = 10000.0  # after which a report starts no step of a rung any more
 TICK_MS = 500.0  # rung control and quota upkeep
 CUT_ABOVE = 1.05  # own use over its budget that starts a step down: reports wander by a few points
 LIFT_BELOW = 0.9  # part of the budget that lifts may fill: room for the next arrivals, and hysteresis
-START_LIMIT = 0.92  # of this front's part of a told uplink, before any shortfall tells
-SHORT_HOLD_MS = 3000.0  # an uplink found short is held at what it gave this long
-SHARE_FRESH_MS = 2200.0  # a share is told each second while it is short: two periods and some delay
+SHORT_HOLD_MS = 2500.0  # a share, told each second while short, stands this long: two periods and some delay
 SHORT = 0.98  # a share under this is short (below it worth is lost)
 EXPLAINED = 0.9  # told use times the delivered share from which the one explains the other
-REGAIN = 0.01  # then, each tick, it is tried for so much more
-LIMIT_OVER = 1.2  # over own use: a limit that is not tried is no knowledge
+REGAIN = 0.01  # then, each tick that it binds, it is tried for so much more
+LEAN = 2.0  # most by which sessions off the common level are hurried, or spared, when all must step
 DWELL_UP = 20.0  # switch costs for which a rung is kept before a lift: a lift must have time to pay for it
 DWELL_DOWN_MS = 4000.0  # nor cut again before a report can tell of the last cut
 EVIDENCE_BAR = 1.5  # evidence at which a server is left alone: two failures nearly in a row
 EVIDENCE_PROVEN = 0.5  # evidence above which no paid session is sent
 BACKOFF_MS = 1500.0  # first rest of a barred server; doubles up to the cap
 BACKOFF_CAP_MS = 8000.0
-# Evidence of an attempt's end, and whether the server may have restarted since.
-BLAME: dict[int, tuple[float, bool]] = {
-    Outcome.CONNECT_FAILED: (EVIDENCE_BAR, True),
-    Outcome.RESET: (EVIDENCE_BAR, True),
-    Outcome.TIMEOUT: (1.0, True),
-    Outcome.ERROR: (1.0, False),
-}
+SURE = (Outcome.CONNECT_FAILED, Outcome.RESET)  # ends that bar a server at once: its process is down
+DOUBT = (Outcome.TIMEOUT, Outcome.ERROR)  # ends that count as evidence of 1
 FLEET_PART = 0.5  # part of the servers barred at once above which the fleet is blamed, not the servers
 STALLED_SHARE = 0.15  # delivered share under which a server is taken to stand still
 FIRST_SET_UP_MS = 150.0  # set-up time before any was seen
 SET_UP_SPREADS = 4.0  # spreads over the usual set-up time at which an attempt is given up
 MIN_ATTEMPT_MS = 120.0  # less time left than this is no use for another attempt
 COLD_MARGIN = 1.3  # the fleet-wide gap between set-ups to a cold server, over the gap it can take
+COLD_WAVE = 4.0  # all fronts may ask so many times more than lately: waves of viewers who come again
+LOOKS = 16  # servers looked at for one request: with more full or barred than that, it may be refused
 
 
 def erlang(load: float, slots: int) -> list[float]:
@@ -73,9 +69,7 @@
 def best_split(slots: int, high: float, low: float, v_high: float, v_low: float) -> tuple[int, int]:
     """The paper's Method II by enumeration: the reserves (premium, low) with the best pay-off.
 
-    `high` and `low` are loads in erlangs; pay-off is per mean session length (mu = 1), penalties are
-    the worths. A state's probability in the pool is (6); with B the Erlang blocking and carried
-    load a(1 - B), (2), (3), (7), (9) and (11) need no inner sums, so a split costs O(pool).
+    Loads are in erlangs, penalties the worths; by the carried load a(1 - B) no inner sums are needed.
     """
     block_h, block_l = erlang(high, slots), erlang(low, slots)
     best, choice = float("-inf"), (0, 0)
@@ -91,14 +85,10 @@
         for n_l in range(slots - n_h + 1):
             pool = slots - n_h - n_l
             over_l, table = low_over[n_l], low_tables[n_l]
-            total = value = 0.0
-            for held in range(pool + 1):
-                b = table[pool - held]
-                total += terms[held]
-                value += terms[held] * (
-                    held * v_high + over_l * ((1 - b) * v_low - b * v_low) + b * gain[(pool - held) // ALPHA]
-                )
-            pay = value / total
+            blocked = list(enumerate(table[pool::-1]))
+            passed = [b * gain[(pool - n) // ALPHA] + over_l * (1 - 2 * b) * v_low for n, b in blocked]
+            value = sum(t * (n * v_high + p) for n, (t, p) in enumerate(zip(terms, passed, strict=False)))
+            pay = value / sum(terms[: pool + 1])
             pay += high * (1 - block_h[n_h]) * v_high + low * (1 - block_l[n_l]) * v_low
             if pay > best + 1e-9:
                 best, choice = pay, (n_h, n_l)
@@ -106,11 +96,7 @@
 
 
 class Plan:
-    """What a kind of session (class, within share or over it, viewer's best rung) asks at each price.
-
-    A price is worth per kB; at a price the session plays the highest rung whose last step still
-    earns it. Level 0 is the lowest price: everything at its top.
-    """
+    """What a kind of session asks at each price of worth a kB: the highest rung whose last step earns it."""
 
     def __init__(self, cls: i.SessionClass, worth: float, top: int, settings: i.Settings) -> None:
         self.floor = cls.floor
@@ -121,8 +107,9 @@
         for r in range(self.floor + 1, self.top + 1):
             gain = worth * (settings.ladder_worth[r] - settings.ladder_worth[r - 1])
             self.prices.append(gain / max(1e-9, self.kb[r] - self.kb[r - 1]))
-        for n in range(len(self.prices) - 2, -1, -1):  # a dear step is not blocked by a poor one below it
-            self.prices[n] = max(self.prices[n], self.prices[n + 1])
+        self.prices = [
+            max(self.prices[n:]) for n in range(len(self.prices))
+        ]  # no dear step behind a poor one
 
     def price_out(self, levels: list[float]) -> None:
         self.rungs = [self.floor + sum(1 for p in self.prices if p >= level) for level in levels]
@@ -132,15 +119,16 @@
 class Pipe:
     """A server's link or a rack's uplink: what it gives, what this front asks of it, and the rest."""
 
-    def __init__(self, cap: float, levels: int, target: float = TARGET) -> None:
+    def __init__(self, cap: float, levels: int, usual: list[float], target: float = TARGET) -> None:
         self.cap, self.target = cap, target
+        self.usual = usual  # lately asked by others of such pipes, over the span: shared by all of a kind
+        self.span = cap  # what a use of 1 means; for an untold uplink the links of its rack
         self.own = 0.0
         self.want = [0.0] * levels  # own sessions' rates at each price level
         self.past: deque[tuple[float, float]] = deque()  # (time, own use up to then)
-        self.others: float | None = None
+        self.others = 0.0
         self.base = 0.0  # own use that the last report of this pipe knew of
-        self.limit = 0.0  # what this front may ask where no use is told, 0: it is told
-        self.short_at = float("-inf")  # last told short of its rates, where no use is told
+        self.short_at = float("-inf")  # last found short though its told use does not explain it
         self.heard_at = float("-inf")
 
     def change(self, now: float, kb: float) -> None:
@@ -149,19 +137,34 @@
             self.past.popleft()
         self.own = max(0.0, self.own + kb)
 
-    def own_at(self, when: float) -> float:
-        return next((own for at, own in self.past if at > when), self.own)
-
-    def hear(self, now: float, use: float, lag: float) -> None:
-        """A report of asked over given, as of `lag` ago."""
-        self.base = self.own_at(now - lag)
-        others = max(0.0, use * self.cap - self.base)
-        old = others if self.others is None or now - self.heard_at > NO_REPORTS_MS else self.others
-        self.others = SMOOTH * others + (1 - SMOOTH) * old
+    def hear(self, now: float, total: float, lag: float, weight: float = SMOOTH) -> None:
+        """A report of what is asked in all, in kB, as of `lag` ago."""
+        old = self.unowned(now)
+        self.base = next((own for at, own in self.past if at > now - lag), self.own)
+        others = max(0.0, total - self.base)
+        off = others / self.span - self.usual[0]
+        self.usual[0] += GAIN * off
+        self.usual[1] += GAIN * (abs(off) - self.usual[1])
+        if now - self.heard_at < STALE_MS:
+            self.usual[2] += GAIN * (abs(others - self.others) / self.span - self.usual[2])
+        self.others = others if self.heard_at == float("-inf") else weight * others + (1 - weight) * old
         self.heard_at = now
 
-    def load(self) -> float:
-        return self.own / self.limit if self.limit else (self.own + (self.others or 0.0)) / self.cap
+    def unowned(self, now: float) -> float:
+        """Asked by others: the last report, fading with its age to what is usual elsewhere."""
+        kept = max(0.0, 1 - (now - self.heard_at) / FADE_MS)
+        return kept * self.others + (1 - kept) * self.usual[0] * self.span
+
+    def load(self, now: float) -> float:
+        return (self.own + self.unowned(now)) / self.cap
+
+    def doubt(self, now: float) -> float:
+        """What may be asked of it over the estimate: what it jumps by, and more with its age."""
+        return (self.usual[2] + min(1.0, (now - self.heard_at) / FADE_MS) * self.usual[1]) * self.span
+
+    def fit(self, less: float = 0.0) -> float:
+        """What it may be asked over what it was asked by the last report."""
+        return max(0.0, self.target * self.cap - less) / max(1.0, self.others + self.base)
 
 
 class Box:
@@ -170,60 +173,62 @@
         self.pipes = [link] if uplink is None else [link, uplink]
         self.sessions: dict[int, Session] = {}
         self.quota, self.quota_at, self.slot_kb = (0, 0), now, 1.0
+        self.alone = False  # the last report came at a set-up: no other front has heard it
+        self.dice = 0.5  # of the last report: rounds this front's part of a change to whole steps
         self.share, self.share_at = 1.0, float("-inf")  # last told share of the rates delivered
         self.evidence, self.barred_until, self.backoff = 0.0, float("-inf"), BACKOFF_MS
-        self.trial: int | None = None  # the one session that tries it again
-        self.proven = False
-        self.failed_at = float("-inf")  # of a failure after which it may have restarted
-        self.cold_until = self.cold_sent = float("-inf")
-
-    def held(self, part: str) -> float:
-        return sum(s.kb for s in self.sessions.values() if s.part == part)
+        self.failed_at = self.cold_until = self.cold_sent = float("-inf")
 
 
 class Session:
     def __init__(self, told: i.NewSession, cls: i.SessionClass, plan: Plan, now: float) -> None:
         self.told, self.cls, self.plan = told, cls, plan
-        self.deadline = now + told.left_ms
-        self.premium = False
+        self.deadline, self.started, self.changed_at = now + told.left_ms, now, float("-inf")
+        self.premium = self.playing = self.gone = self.maybe_ran = False
+        self.paid = cls.repeat != Repeat.SAFE
         self.box: Box | None = None
         self.rung, self.kb = plan.floor, 0.0
-        self.part = ""  # high, low (the reserves) or pool
-        self.playing, self.gone, self.first_note = False, False, True
-        self.started, self.changed_at = now, float("-inf")
+        self.part = ""  # its reserve or pool
         self.sub_rated_from: int | None = None
         self.was_sub_rated = False  # only once in its life
-        self.attempts, self.maybe_ran = 0, False
-        self.tried: list[int] = []
+        self.attempts, self.tried = 0, list[int]()
+
+    def above(self) -> range:
+        """The rungs that it could step down from."""
+        return range(self.plan.floor + 1, self.rung + 1)
 
 
 class Front:
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.settings, self.random, self.now = settings, Random(seed), 0.0
+        self.untold = "x1" not in settings.report_fields  # what is asked of uplinks
         self.out: list[i.Action] = []
         self.boxes: dict[int, Box] = {}
+        self.order: list[Box] = []  # the same, to draw from
+        self.by_cell: dict[int, list[Box]] = {}
+        self.held: dict[Box, None] = {}  # those with own sessions: nothing else is walked
         self.racks: dict[int, Pipe] = {}
+        first = FIRST_USE * (settings.fronts - 1) / settings.fronts
+        self.usual = [first, SPREAD, JUMP], [first, SPREAD, JUMP]  # of links, of uplinks: use by others
         self.sessions: dict[int, Session] = {}
         self.seats: dict[tuple[int, int], int] = {}
         self.born: float | None = None
-        self.list_fresh = self.ticking = False
+        self.list_fresh = False
         self.cheapest = min(c.worth for c in settings.classes)
         self.counts, self.counted_at = [0.0, 0.0], 0.0  # decayed arrivals: low, premium
         self.worths = [self.cheapest, self.cheapest]
         self.length_ms = FIRST_LENGTH_MS
+        self.own, self.own_high, self.links = 0.0, 0.0, 0.0  # kB: own sessions, the premium ones, all links
+        self.seen_ms = 0.0  # time that the counts stand for
         self.set_up_ms, self.set_up_spread = FIRST_SET_UP_MS, FIRST_SET_UP_MS / 2
         self.splits: dict[tuple[int, int, int], tuple[int, int]] = {}
-        self.taken: deque[float] = deque()  # kept only where further attempts are rationed
-        self.retried: deque[float] = deque()
+        self.taken, self.retried = deque[float](maxlen=9999), deque[float](maxlen=9999)  # requests, retries
         self.tenant_room: dict[int, tuple[float, float]] = {}
-        self.plans: dict[tuple[int, bool, int], Plan] = {}
-        prices: dict[float, None] = {0.0: None}
+        self.plans: dict[tuple[int, int, int], Plan] = {}
         for n, cls in enumerate(settings.classes):
-            for over in (False, True):
-                worth = cls.worth * (settings.over_share_worth if over else 1.0)
+            for over, part in enumerate((1.0, settings.over_share_worth)):
                 for top in range(len(settings.ladder_kb)):
-                    plan = self.plans[n, over, top] = Plan(cls, worth, top, settings)
-                    prices.update(dict.fromkeys(plan.prices))
+                    self.plans[n, over, top] = Plan(cls, cls.worth * part, top, settings)
         self.acts: dict[type, Callable[[Any], None]] = {
             i.NewSession: self.on_new,
             i.Note: self.on_note,
@@ -233,52 +238,57 @@
             i.ViewerGone: self.on_viewer_gone,
             i.TimerDue: self.on_tick,
         }
-        self.levels = [p * (1 + 1e-9) if p else 0.0 for p in sorted(prices)]
+        prices = {0.0, *(p for plan in self.plans.values() for p in plan.prices)}
+        self.levels = [p * (1 + 1e-9) for p in sorted(prices)]
         for plan in self.plans.values():
             plan.price_out(self.levels)
+        self.want = [0.0] * len(self.levels)  # of all own sessions: a sample of everybody's
 
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
         self.now, self.out = now, []
         if self.born is None:
             self.born = self.counted_at = now
-            if self.settings.subscribes:
-                self.out.append(i.Subscribe(True))
+            self.out.append(i.SetTimer(0, TICK_MS))
+            self.out += [i.Subscribe(True)] * self.settings.subscribes
         for event in events:  # what is told of the servers binds all that is decided in this batch
             if isinstance(event, i.ServerList):
                 self.on_list(event)
         for event in events:
-            act = self.acts.get(type(event))
-            if act:
+            if act := self.acts.get(type(event)):
                 act(event)
-        if not self.ticking:
-            self.ticking = True
-            self.out.append(i.SetTimer(0, TICK_MS))
         return self.out
 
-    # The list of servers
-
     def on_list(self, event: i.ServerList) -> None:
         if event.kind == i.ListKind.FAILED:
             self.out.append(i.Subscribe(True))
             return
-        if event.kind != i.ListKind.CACHED:
-            self.list_fresh = True
+        self.list_fresh |= event.kind != i.ListKind.CACHED
         if event.kind != i.ListKind.CHANGES:
-            named = {s.id: None for s in event.servers}
-            self.boxes = {n: b for n, b in self.boxes.items() if n in named}
-        size = [self.places(s) for s in event.servers] + [self.places(b.told) for b in self.boxes.values()]
+            named = {s.id for s in event.servers}
+            for ref in [n for n in self.boxes if n not in named]:
+                self.enlist(self.boxes.pop(ref), -1)
+        size = [self.places(s) for s in event.servers] + [self.places(b.told) for b in self.order]
         mean_places = sum(size) / max(1, len(size))
         for told in event.servers:
             known = self.boxes.get(told.id)
-            if told.state == ServerState.GONE:
-                self.boxes.pop(told.id, None)  # its sessions are kept until their end is reported
-            elif known:
+            if known and told.state != ServerState.GONE and told.cell == known.told.cell:
                 if told.ready_at != known.told.ready_at:
-                    known.evidence, known.backoff, known.proven = 0.0, BACKOFF_MS, False
+                    known.evidence, known.backoff = 0.0, BACKOFF_MS
                     known.barred_until = known.failed_at = float("-inf")
                 known.told = told
-            else:
+                continue
+            if known:
+                self.enlist(self.boxes.pop(told.id), -1)  # its sessions are kept until their end is reported
+            if told.state != ServerState.GONE:
                 self.boxes[told.id] = self.new_box(told, mean_places)
+                self.enlist(self.boxes[told.id], 1)
+
+    def enlist(self, box: Box, sign: int) -> None:
+        for group in (self.order, self.by_cell.setdefault(box.told.cell, [])):
+            (group.append if sign > 0 else group.remove)(box)
+        self.links += sign * box.link.cap
+        if box.uplink:
+            box.uplink.span += sign * box.link.cap * self.untold
 
     def places(self, told: i.Server) -> int:
         table = self.settings.places_by_kind
@@ -287,26 +297,23 @@
     def new_box(self, told: i.Server, mean_places: float) -> Box:
         size = told.weight if self.settings.weights_tell_size else self.places(told) / mean_places
         most = min(TARGET, FULL_BELOW * self.settings.full_from or TARGET)
-        link = Pipe(max(1.0, self.settings.link_kb_per_weight * size), len(self.levels), most)
-        uplink = None
-        if self.settings.racks and self.settings.uplink_kb:
-            rack = told.cell % self.settings.racks
-            if rack not in self.racks:
-                self.racks[rack] = Pipe(self.settings.uplink_kb, len(self.levels))
-                if "x1" not in self.settings.report_fields:
-                    self.racks[rack].limit = START_LIMIT * self.settings.uplink_kb / self.settings.fronts
-            uplink = self.racks[rack]
+        link_kb = max(1.0, self.settings.link_kb_per_weight * size)
+        link = Pipe(link_kb, len(self.levels), self.usual[0], most)
+        rack = told.cell % self.settings.racks if self.settings.racks and self.settings.uplink_kb else None
+        if rack is not None and rack not in self.racks:
+            usual = self.usual[not self.untold]
+            up = self.racks[rack] = Pipe(self.settings.uplink_kb, len(self.levels), usual)
+            up.span *= not self.untold
+        uplink = None if rack is None else self.racks[rack]
         return Box(told, link, uplink, self.now + self.random.random() * QUOTA_PERIOD_MS)
 
-    # Arrivals
-
     def on_new(self, told: i.NewSession) -> None:
         s = self.session(told, self.over_share(told.tenant))
-        if self.settings.retry_free is not None:
-            self.taken.append(self.now)
-        self.decay_counts()
+        self.taken.append(self.now)
         self.counts[s.premium] += 1.0
         self.worths[s.premium] += GAIN * (s.plan.worth - self.worths[s.premium])
+        if told.length_ms > 0:
+            self.length_ms += GAIN * (told.length_ms - self.length_ms)
         self.place(s)
 
     def session(self, told: i.NewSession, over: bool) -> Session:
@@ -318,97 +325,75 @@
 
     def over_share(self, tenant: int) -> bool:
         """A bucket of this front's part of the tenant's told rate."""
-        tenants = self.settings.tenants
-        quota = tenants[tenant].quota_per_s / self.settings.fronts if tenant < len(tenants) else 0.0
+        told = self.settings.tenants[tenant : tenant + 1]
+        quota = sum(t.quota_per_s for t in told) / self.settings.fronts
         if quota <= 0:
             return False
-        room, at = self.tenant_room.get(tenant, (quota * QUOTA_BURST_S, self.now))
-        room = min(quota * QUOTA_BURST_S, room + quota * (self.now - at) / 1000)
+        most = quota * QUOTA_BURST_S + QUOTA_CHANCE
+        room, at = self.tenant_room.get(tenant, (most, self.now))
+        room = min(most, room + quota * (self.now - at) / 1000)
         over = room < 1
         self.tenant_room[tenant] = (room if over else room - 1, self.now)
         return over
 
-    def decay_counts(self) -> None:
+    def rate(self) -> float:
+        """Own arrivals a millisecond; the counts fade."""
         kept = max(0.0, 1 - (self.now - self.counted_at) / RATE_WINDOW_MS)
         self.counts = [c * kept for c in self.counts]
+        self.seen_ms = kept * self.seen_ms + self.now - self.counted_at
         self.counted_at = self.now
-
-    # Quotas
+        return max(1.0, sum(self.counts)) / max(QUOTA_PERIOD_MS, self.seen_ms)
 
     def set_quota(self, box: Box) -> None:
         """The reserves of a server by Method II; few counts or a fresh front: all in the pool."""
         box.quota_at = self.now + QUOTA_PERIOD_MS
-        self.decay_counts()
-        level = self.level(box, None)
+        self.rate()
+        level, number = self.level(box, None), len(self.sessions)
         usual = self.settings.ladder_kb[len(self.settings.ladder_kb) // 2]
-        box.slot_kb = box.link.want[level] / len(box.sessions) if box.sessions else usual
-        slots = self.slots(box)
-        fresh = self.now - (self.born or 0.0) < QUOTA_PERIOD_MS
-        if fresh or sum(self.counts) < FEW_COUNTS or self.worths[1] <= self.worths[0]:
+        box.slot_kb = max(1.0, self.want[level] / number if self.own and number else usual)
+        if sum(self.counts) < FEW_COUNTS or self.worths[1] <= self.worths[0]:
             box.quota = (0, 0)
             return
-        fronts_per_server = self.settings.fronts / max(1, len(self.boxes))
-        span = min(RATE_WINDOW_MS, self.now - (self.born or 0.0))
-        loads = [c / span * fronts_per_server * self.length_ms for c in self.counts]
-        key = (slots, round(loads[1] * 4), round(loads[0] * 4))
+        servers = self.settings.fronts / max(1, len(self.boxes)) * self.length_ms / max(1.0, self.seen_ms)
+        slots = max(1, min(self.places(box.told), int(box.link.target * box.link.cap / box.slot_kb)))
+        key = (slots, round(self.counts[1] * servers * 2), round(self.counts[0] * servers * 2))
         if key not in self.splits:
-            if len(self.splits) > 200:
-                self.splits.clear()
-            self.splits[key] = best_split(slots, key[1] / 4, key[2] / 4, self.worths[1], self.worths[0])
+            self.splits[key] = best_split(slots, key[1] / 2, key[2] / 2, self.worths[1], self.worths[0])
         box.quota = self.splits[key]
 
-    def slots(self, box: Box) -> int:
-        """The told link (or its part of the uplink) over the asked rate, capped by the told streams."""
-        mates = sum(1 for b in self.boxes.values() if b.uplink is box.uplink)
-        cap = min(box.link.cap, box.uplink.cap / max(1, mates)) if box.uplink else box.link.cap
-        return max(1, min(self.places(box.told), int(TARGET * cap / max(1.0, box.slot_kb))))
-
-    # Pipes and the asked rung
-
-    def budget(self, pipe: Pipe) -> float:
-        """What this front may ask of a pipe in all.
-
-        All fronts hear the same report at once, so each takes 1/N of the room, and of what is asked
-        too much each gives back in proportion. Without fresh reports: 1/N of a cautious target.
-        """
-        if pipe.limit:
-            return pipe.limit
-        period = self.settings.reports_every_ms
-        patience = STALE_PERIODS * period + self.settings.told_late_ms if period else NO_REPORTS_MS
-        if pipe.others is None or self.now - pipe.heard_at > patience:
-            return BLIND * pipe.cap / self.settings.fronts
-        total, most = pipe.others + pipe.base, pipe.target * pipe.cap
-        if total <= most:
-            return pipe.base + (most - total) / self.settings.fronts
-        return pipe.base * most / total
-
     def room(self, box: Box) -> float:
-        return min(self.budget(p) - p.own for p in box.pipes)
+        """Of the whole server: sessions do not divide among the fronts."""
+        return min(p.target * p.cap - p.own - p.unowned(self.now) for p in box.pipes)
+
+    def rivals(self) -> float:
+        """Requests of all fronts that one server's room must do for until its next report."""
+        period = self.settings.reports_every_ms or STALE_MS
+        asked = self.rate() * self.settings.fronts * period / max(1, len(self.boxes))
+        return max(1.0, min(self.settings.fronts, asked))
 
     def level(self, box: Box, plan: Plan | None) -> int:
-        """The lowest price level at which the own sessions, and one more of `plan`, fit every pipe."""
+        """The lowest price level at which all sessions there, taken to be as this front's, and `plan` fit."""
         level, more = 0, plan.rates if plan else [0.0] * len(self.levels)
         for pipe in box.pipes:
-            budget = self.budget(pipe)
-            while level < len(self.levels) - 1 and pipe.want[level] + more[level] > budget:
+            others = pipe.unowned(self.now) / self.own if self.own else 0.0
+            most, last = pipe.target * pipe.cap, len(self.levels) - 1
+            while level < last and pipe.want[level] + others * self.want[level] + more[level] > most:
                 level += 1
         return level
 
-    # Admission
-
     def place(self, s: Session) -> None:
         """The ordinary path: two random holders, less loaded first; reserve, pool, sub-rating, refusal."""
         if s.cls.seats and self.seats.get((s.told.cls, s.told.title), 0) >= s.cls.seats:
             self.give_up(s)
             return
-        pair = self.pick(s)
+        pair, luck = self.pick(s), self.random.random()
         for box in pair:
-            top = s.plan.rungs[self.level(box, s.plan)]
-            if top < s.plan.top and s.plan.kb[top + 1] <= self.lift_room(box):
-                top += 1
-            for rung in range(top, s.plan.floor - 1, -1):
-                part = self.part(box, s.premium, s.plan.kb[rung])
-                if part:
+            doubt = max(p.doubt(self.now) for p in box.pipes)
+            for rung in range(s.plan.rungs[self.level(box, s.plan)], s.plan.floor - 1, -1):
+                kb = s.plan.kb[rung]
+                # Where more may act on a report than fit, each does so with that probability.
+                ask = kb + doubt if rung > s.plan.floor else max(kb, kb * luck * self.rivals())
+                if part := self.part(box, s.premium, ask):
                     self.send(s, box, rung, part)
                     return
         for box in pair:
@@ -422,29 +407,28 @@
         room = self.room(box)
         if room < kb:
             return ""
-        unit = box.slot_kb / self.settings.fronts  # this front's part of the reserves, as of the room
-        left_high = max(0.0, box.quota[0] * unit - box.held("high"))
-        left_low = max(0.0, box.quota[1] * unit - box.held("low"))
-        left, kept = (left_high, left_low) if premium else (left_low, left_high)
-        if room - kept < kb:  # what is kept for the other class is not for this one
+        if self.now >= box.quota_at:
+            self.set_quota(box)
+        others = box.link.unowned(self.now)  # what sits in the reserves is estimated alike
+        high = self.own_high / self.own if self.own else 0.0
+        own_high = sum(s.kb for s in box.sessions.values() if s.premium)
+        sits = (own_high + high * others, box.link.own - own_high + (1 - high) * others)
+        left = [max(0.0, quota * box.slot_kb - kept) for quota, kept in zip(box.quota, sits, strict=True)]
+        if room - left[premium] < kb:  # what is kept for the other class is not for this one
             return ""
-        return ("high" if premium else "low") if left >= kb / 2 else "pool"  # slots do not divide evenly
+        return "reserve" if left[not premium] >= kb / 2 else "pool"  # slots do not divide evenly
 
     def sub_rate(self, box: Box, s: Session) -> bool:
         """Alpha low pool sessions drop enough rungs to free the premium session's rate together."""
         need = s.plan.kb[s.plan.floor] - max(0.0, self.room(box))
         pool = [low for low in box.sessions.values() if low.playing and low.part == "pool"]
-        chosen = [low for low in pool if not (low.premium or low.was_sub_rated)]
-        chosen.sort(key=lambda low: low.plan.kb[low.plan.floor] - low.kb)
-        chosen = chosen[:ALPHA]
-        if len(chosen) < ALPHA or sum(low.kb - low.plan.kb[low.plan.floor] for low in chosen) < need:
+        pool = [low for low in pool if not (low.premium or low.was_sub_rated)]
+        chosen = sorted(pool, key=lambda low: low.plan.kb[low.plan.floor] - low.kb)[:ALPHA]
+        if sum(low.kb - low.plan.kb[low.plan.floor] for low in chosen) < need:
             return False
-        for n, low in enumerate(chosen):
-            low.was_sub_rated, low.sub_rated_from, before = True, low.rung, low.kb
-            part = need / (len(chosen) - n)
-            fit = [r for r in range(low.plan.floor, low.rung) if low.kb - low.plan.kb[r] >= part]
-            self.set_rung(low, max(fit, default=low.plan.floor))
-            need -= before - low.kb
+        for low in chosen:
+            low.was_sub_rated, low.sub_rated_from = True, low.rung
+        self.step_down(chosen, need, 1.0)
         return True
 
     def restore(self, box: Box) -> None:
@@ -455,29 +439,34 @@
                 if rung > low.rung and low.plan.kb[rung] - low.kb <= self.room(box):
                     self.set_rung(low, rung)
 
-    # The pick
-
     def pick(self, s: Session) -> list[Box]:
         """Two random servers of those that hold the title and may take new work, the less loaded first."""
-        paid, cells = s.cls.repeat != Repeat.SAFE, self.settings.cells
-        fresh = [b for b in self.boxes.values() if b.told.id not in s.tried]
-        held = [b for b in fresh if (b.told.cell - s.told.first_cell) % cells < s.told.cells]
-        ready = [b for b in held if b.told.state == ServerState.READY and self.warm_enough(b)]
-        fit = [b for b in ready if self.healthy(b, paid)]
-        if paid and not fit:
-            fit = [b for b in ready if self.healthy(b, False) and b.evidence == 0 and b.trial is None]
-        fit = [b for b in fit if self.room(b) >= s.plan.kb[s.plan.floor]] or fit  # known full: no choice
-        return sorted(self.random.sample(fit, min(2, len(fit))), key=lambda b: max(p.load() for p in b.pipes))
-
-    # Health
+        cells, holders = self.settings.cells, self.order
+        if s.told.cells < cells:
+            row = [(s.told.first_cell + n) % cells for n in range(s.told.cells)]
+            holders = [b for cell in row for b in self.by_cell.get(cell, ())]
+        good: list[Box] = []
+        spare: list[Box] = []  # known full, or for a paid session not known to serve
+        moved: dict[int, int] = {}
+        for n in range(min(LOOKS, len(holders))):  # in random order, drawn as far as it is needed
+            k = self.random.randrange(n, len(holders))
+            box = holders[moved.get(k, k)]
+            moved[k] = moved.get(n, n)
+            if box.told.state != ServerState.READY or box.told.id in s.tried:
+                continue
+            if self.healthy(box, s.paid) and self.warm_enough(box):
+                full = self.room(box) < s.plan.kb[s.plan.floor]
+                (spare if full else good).append(box)
+                if len(good) == 2:
+                    break
+        pair = (good or spare)[:2]
+        return sorted(pair, key=lambda b: max(p.load(self.now) for p in b.pipes))
 
     def healthy(self, box: Box, paid: bool) -> bool:
-        if paid:
-            return box.proven and box.evidence <= EVIDENCE_PROVEN and self.now >= box.barred_until
-        sick = sum(1 for b in self.boxes.values() if b.evidence >= EVIDENCE_BAR)
-        if box.evidence < EVIDENCE_BAR or sick > FLEET_PART * len(self.boxes):
-            return True
-        return self.now >= box.barred_until and box.trial is None
+        if self.now >= box.barred_until:
+            return box.evidence <= EVIDENCE_PROVEN or not paid
+        sick = sum(b.evidence >= EVIDENCE_BAR for b in self.order)
+        return not paid and sick > FLEET_PART * len(self.boxes)
 
     def blame(self, box: Box, weight: float, restart: bool) -> None:
         """One score for every sign that a server does not serve; what raises it is told apart only here."""
@@ -490,98 +479,92 @@
 
     def praise(self, box: Box) -> None:
         box.evidence /= 2
-        box.proven, box.trial, box.backoff = True, None, BACKOFF_MS
+        box.backoff = BACKOFF_MS
         if box.failed_at > float("-inf"):  # it may have started anew between the failure and now
             box.cold_until, box.failed_at = self.now + self.settings.warm_within_ms, float("-inf")
 
-    # Cold starts
-
     def warm_enough(self, box: Box) -> bool:
-        """Cold servers: one set-up a turn. The turns run from the told start, so that fronts alternate."""
-        warm = self.settings.warm_within_ms
-        if warm <= 0:
+        """Cold servers: a turn (from the told start) is for as many fronts as would ask about once in it."""
+        warm = max(1.0, self.settings.warm_within_ms)
+        start, fronts = box.told.ready_at, self.settings.fronts
+        told = start > 0 and self.now < start + warm and box.failed_at == float("-inf")
+        unsure = not self.list_fresh and self.now - (self.born or 0.0) < warm
+        if not (told or unsure or box.failed_at > float("-inf") or self.now < box.cold_until):
             return True
         pace = max(1e-9, self.places(box.told) * self.settings.cold_from / warm)  # of all fronts together
         gap = COLD_MARGIN / pace
-        start = box.told.ready_at
-        if start > 0 and self.now < start + warm and box.failed_at == float("-inf"):
-            turn = (self.now - start) / gap
-            mine = int(turn) % self.settings.fronts == self.settings.index and turn % 1 < 0.5
-            return mine and self.now - box.cold_sent > gap / 2
-        unsure = not self.list_fresh and self.now - (self.born or 0.0) < warm
-        cold = unsure or box.failed_at > float("-inf") or self.now < box.cold_until
-        return not cold or self.now - box.cold_sent > gap * self.settings.fronts
+        each = self.rate() * 2 / max(1, len(self.boxes)) * gap  # set-ups that a front would send it in a turn
+        group = max(1, min(fronts, int(1 / (COLD_WAVE * each))))
+        if not told:
+            return self.now - box.cold_sent > gap * fronts / group
+        turn = (self.now - start) / gap
+        mine = (int(turn) * group - self.settings.index) % fronts < group and turn % 1 < 0.5
+        return mine and self.now - box.cold_sent > gap / 2
 
     # Attempts
 
     def send(self, s: Session, box: Box, rung: int, part: str) -> None:
-        if rung != s.cls.floor or s.attempts:
-            self.out.append(i.SetRung(s.told.id, rung))
-        left, timeout = s.deadline - self.now, 0.0
-        if s.cls.repeat == Repeat.SAFE and s.attempts + 1 < self.settings.max_attempts:
+        self.out.append(i.SetRung(s.told.id, rung))
+        timeout = 0.0
+        if not s.paid and s.attempts + 1 < self.settings.max_attempts:
             usual = self.set_up_ms + SET_UP_SPREADS * self.set_up_spread
-            timeout = min(max(usual, self.settings.connect_timeout_ms), left / 2)
+            timeout = min(max(usual, self.settings.connect_timeout_ms), (s.deadline - self.now) / 2)
         self.out.append(i.SetUp(s.told.id, box.told.id, timeout))
-        if s.attempts and self.settings.retry_free is not None:
+        if s.attempts:
             self.retried.append(self.now)
         s.attempts, s.rung, s.part = s.attempts + 1, rung, part
         s.tried.append(box.told.id)
-        if box.evidence >= EVIDENCE_BAR:
-            box.trial = s.told.id
         box.cold_sent = self.now
         self.attach(s, box)
 
     def attach(self, s: Session, box: Box) -> None:
         s.box, s.kb = box, s.plan.kb[s.rung]
         box.sessions[s.told.id] = s
+        self.held[box] = None
         self.ledger(s, 1)
 
     def detach(self, s: Session) -> None:
-        if s.box is None:
-            return
-        self.ledger(s, -1)
-        del s.box.sessions[s.told.id]
-        if s.box.trial == s.told.id:
-            s.box.trial = None
-        s.box = None
+        if s.box:
+            self.ledger(s, -1)
+            del s.box.sessions[s.told.id]
+            if not s.box.sessions:
+                del self.held[s.box]
+            s.box = None
 
     def ledger(self, s: Session, sign: int) -> None:
         """Seats and rates count from the set-up (or the hand-over) to the report of the end."""
         key = (s.told.cls, s.told.title)
         self.seats[key] = self.seats.get(key, 0) + sign
-        if not self.seats[key]:
-            del self.seats[key]
+        self.add_own(s, sign * s.kb)
+        for want in [self.want, *(p.want for p in (s.box.pipes if s.box else ()))]:
+            want[:] = [w + sign * r for w, r in zip(want, s.plan.rates, strict=True)]
+
+    def add_own(self, s: Session, kb: float) -> None:
+        self.own = max(0.0, self.own + kb)
+        self.own_high = max(0.0, self.own_high + kb * s.premium)
         for pipe in s.box.pipes if s.box else ():
-            pipe.change(self.now, sign * s.kb)
-            pipe.want = [w + sign * r for w, r in zip(pipe.want, s.plan.rates, strict=True)]
+            pipe.change(self.now, kb)
 
     def set_rung(self, s: Session, rung: int, told: bool = False) -> None:
         if not told:
             self.out.append(i.SetRung(s.told.id, rung))
             s.changed_at = self.now
-        for pipe in s.box.pipes if s.box else ():
-            pipe.change(self.now, s.plan.kb[rung] - s.kb)
+        self.add_own(s, s.plan.kb[rung] - s.kb)
         s.rung, s.kb = rung, s.plan.kb[rung]
 
     def may_retry(self, s: Session) -> bool:
         spent = s.attempts >= self.settings.max_attempts or s.deadline - self.now < MIN_ATTEMPT_MS
-        if spent or (s.maybe_ran and s.cls.repeat != Repeat.SAFE):
-            return False
-        if s.attempts == 0 or self.settings.retry_free is None:
-            return True
+        if spent or (s.maybe_ran and s.paid) or self.settings.retry_free is None:
+            return not (spent or (s.maybe_ran and s.paid))
         since = self.now - self.settings.retry_span_ms
-        for times in (self.taken, self.retried):
-            while times and times[0] <= since:
-                times.popleft()
-        return len(self.retried) + 1 <= self.settings.retry_free + self.settings.retry_share * len(self.taken)
+        taken, again = (sum(t > since for t in times) for times in (self.taken, self.retried))
+        return again + 1 <= self.settings.retry_free + self.settings.retry_share * taken
 
     def give_up(self, s: Session) -> None:
         """The final answer, at once: refused where no attempt can have run or that does no harm."""
-        if s.maybe_ran and s.cls.repeat != Repeat.SAFE:
-            self.out.append(i.Fail(s.told.id))
-        else:
-            pause = self.settings.max_pause_ms if self.settings.pause_advice else 0.0
-            self.out.append(i.Refuse(s.told.id, pause))
+        pause = self.settings.max_pause_ms if self.settings.pause_advice else 0.0
+        fail = s.maybe_ran and s.paid
+        self.out.append(i.Fail(s.told.id) if fail else i.Refuse(s.told.id, pause))
         del self.sessions[s.told.id]
 
     def on_playing(self, event: i.Playing) -> None:
@@ -603,36 +586,39 @@
             return
         self.detach(s)
         if box and event.outcome == Outcome.FULL:
-            box.link.hear(self.now, max(self.settings.full_from, 1.0), 0.0)
-        elif box and event.outcome in BLAME:
-            self.blame(box, *BLAME[event.outcome])
-        if s.playing and box:
-            if event.outcome == Outcome.OK:
-                self.length_ms += GAIN * (self.now - s.started - self.length_ms)
-            if s.premium:
-                self.restore(box)
+            box.link.hear(self.now, max(self.settings.full_from, 1.0) * box.link.cap, 0.0)
+        elif box and event.outcome in (*SURE, *DOUBT):
+            weight = EVIDENCE_BAR if event.outcome in SURE else 1.0
+            self.blame(box, weight, event.outcome != Outcome.ERROR)
+        if event.outcome == Outcome.OK:
+            self.length_ms += GAIN * (self.now - s.started - self.length_ms)
+        if s.playing and box and s.premium:
+            self.restore(box)
         if event.closed or s.gone:
             del self.sessions[event.id]
             return
         s.maybe_ran |= event.outcome not in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
-        if self.may_retry(s):
-            self.place(s)
-        else:
-            self.give_up(s)
+        (self.place if self.may_retry(s) else self.give_up)(s)
 
     def read_report(self, box: Box, report: tuple[float, ...]) -> None:
         for name, value in zip(self.settings.report_fields, report, strict=False):
             if name == "x0" or (name == "utilization" and value < 0.99):
-                box.link.hear(self.now, value, TICK_MS)
-            elif name == "x1" and box.uplink:
-                box.uplink.hear(self.now, value, TICK_MS)
+                self.hear(box, i.NoteKind.LINK, value, TICK_MS)
+            elif name == "x1":
+                self.hear(box, i.NoteKind.UPLINK, value, TICK_MS)
+
+    def hear(self, box: Box, kind: int, use: float, lag: float) -> None:
+        if not 0 <= use < float("inf"):
+            return
+        if kind == i.NoteKind.LINK:
+            box.link.hear(self.now, use * box.link.cap, lag)
+            box.dice, box.alone = self.random.random(), lag < TICK_MS / 2
+        if box.uplink and (kind == i.NoteKind.UPLINK or self.untold):  # untold: its links are samples of it
+            box.uplink.hear(self.now, use * box.uplink.span, lag, SMOOTH / 2 if self.untold else SMOOTH)
 
     def on_viewer_gone(self, event: i.ViewerGone) -> None:
-        s = self.sessions.get(event.id)
-        if s:  # an attempt that is out is kept until its end is reported
+        if s := self.sessions.get(event.id):  # an attempt that is out is kept until its end is reported
             s.gone = True
-            if s.box is None:
-                del self.sessions[event.id]
 
     def on_handed_over(self, event: i.HandedOver) -> None:
         told = event.session
@@ -642,7 +628,8 @@
         if box is None:  # not on the list that came with the start: keep its session, send nothing there
             told_box = i.Server(event.server, 0, 1.0, 0, told.first_cell, 0.0, ServerState.GONE)
             box = self.new_box(told_box, self.places(told_box))
-        box.proven = True
+        self.counts[s.premium] += 1.0  # sessions held stand for the arrivals of one length
+        self.seen_ms = max(self.seen_ms, self.length_ms)
         self.attach(s, box)
 
     # Notes and rung control
@@ -651,81 +638,88 @@
         s = self.sessions.get(event.id)
         if s is None or s.box is None:
             return
-        box = s.box
-        lag = 0.0 if s.first_note and s.attempts else self.settings.told_late_ms
+        lag = min(self.settings.told_late_ms, self.now - s.started)  # those at set-up tell of now
         if event.kind == i.NoteKind.RUNG:
             self.set_rung(s, int(event.value), told=True)
-        elif event.kind == i.NoteKind.LINK:
-            box.link.hear(self.now, event.value, lag)
-        elif event.kind == i.NoteKind.UPLINK and box.uplink:
-            box.uplink.hear(self.now, event.value, lag)
         elif event.kind == i.NoteKind.SHARE:
-            self.on_share(box, event.value)
-        # The notes at set-up tell of now; that of the link comes first, then the uplink's.
-        s.first_note &= event.kind == i.NoteKind.LINK and "x1" in self.settings.report_fields
+            self.on_share(s.box, event.value)
+        else:
+            self.hear(s.box, event.kind, event.value, lag)
 
     def on_share(self, box: Box, share: float) -> None:
+        """A shortfall that the told use does not explain (reports stay out, lie or are none) stands for one.
+
+        An uplink falls short for all its servers, a link for one. Harm: viewers' own networks counted as it.
+        """
         box.share, box.share_at = share, self.now
         if share < STALLED_SHARE:  # it stands still: no matter of rates
             self.blame(box, EVIDENCE_BAR, False)
+        if not STALLED_SHARE <= share < SHORT:
             return
-        # An uplink falls short for all its servers alike, a link for one: the best-served server tells.
-        best, mates = share, 0
-        for mate in self.boxes.values():
-            since = min((s.started for s in mate.sessions.values() if s.playing), default=self.now)
-            if mate.uplink is box.uplink and self.now - since > SHARE_FRESH_MS:
-                mates += 1
-                best = max(best, mate.share if self.now - mate.share_at < SHARE_FRESH_MS else 1.0)
-        if box.uplink and best < SHORT and (mates > 1 or box.link.load() * best < EXPLAINED):
-            self.found_short(box.uplink, best)
-        elif share < SHORT:
-            self.found_short(box.link, share)
-
-    def found_short(self, pipe: Pipe, share: float) -> None:
-        """A shortfall that the told use does not explain: reports stay out or lie, or none are made.
-
-        It stands for the report. What comes within the hold still tells of before the cut. It would do
-        harm where viewers' own networks were counted as the server's shortfall.
-        """
-        if self.now - pipe.short_at < SHORT_HOLD_MS or (not pipe.limit and pipe.load() * share > EXPLAINED):
-            return
+        up, since = box.uplink, self.now - SHORT_HOLD_MS
+        mates = [
+            m for m in self.held if m.uplink is up and any(s.started < since for s in m.sessions.values())
+        ]
+        best = max([share, *(m.share if m.share_at > since else 1.0 for m in mates)])
+        pipe = box.link
+        if up and best < SHORT and (len(mates) > 1 or pipe.load(self.now) * best < EXPLAINED):
+            pipe, share = up, best
+        if pipe.short_at > since or pipe.load(self.now) * share > EXPLAINED:
+            return  # what comes within the hold still tells of before the cut
         pipe.short_at = self.now
-        if pipe.limit:
-            pipe.limit = share * pipe.own_at(self.now - self.settings.told_late_ms)
+        if pipe is up and self.untold:  # it gives less than was thought
+            pipe.cap = share * (pipe.own + pipe.unowned(self.now))
         else:
-            pipe.hear(self.now, 1 / share, self.settings.told_late_ms)
+            pipe.hear(self.now, pipe.cap / share, self.settings.told_late_ms)
 
     def on_tick(self, _: i.TimerDue) -> None:
         self.out.append(i.SetTimer(0, TICK_MS))
-        for up in self.racks.values():
-            most = max(up.cap / self.settings.fronts, LIMIT_OVER * up.own)
-            if self.now - up.short_at > SHORT_HOLD_MS and up.limit < most:
-                up.limit *= 1 + REGAIN
-        for box in self.boxes.values():
-            if self.now >= box.quota_at:
-                self.set_quota(box)
+        if self.untold:
+            for up in {b.uplink: None for b in self.held if b.uplink}:
+                if self.now - up.short_at > SHORT_HOLD_MS and up.load(self.now) > LIFT_BELOW:
+                    up.cap *= 1 + REGAIN
+        for box in self.held:
             self.control(box)
 
     def control(self, box: Box) -> None:
-        """Rung control: cut to the level that fits when a pipe is over-asked, lift one when room stays."""
+        """Give back when a pipe is over-asked, lift one session when room stays: each front for its own part.
+
+        A part of a step is taken with that probability, by the dice of the report: the sum comes out right.
+        """
         playing = [s for s in box.sessions.values() if s.playing]
-        level = self.level(box, None)
-        over = [p for p in box.pipes if p.own > CUT_ABOVE * self.budget(p)]
-        if over:
-            for s in sorted(playing, key=lambda s: s.plan.worth):
-                if s.rung > s.plan.rungs[level] and self.now - s.changed_at > DWELL_DOWN_MS:
-                    self.set_rung(s, s.plan.rungs[level])
-                    if self.room(box) >= 0:
-                        return
+        if self.now - box.link.heard_at > STALE_MS or not playing:
+            return
+        pipes, level = box.pipes, self.level(box, None)
+        if self.untold and box.uplink and self.now - box.uplink.short_at > SHORT_HOLD_MS:
+            pipes = [box.link]  # untold use is guessed from samples: only shares start a cut by it
+        fit, done = min(p.fit() for p in pipes), box.link.own - box.link.base  # changed since the report
+        lean = max(1 / LEAN, min(LEAN, box.link.own / max(1.0, box.link.want[level])))
+        down, up = box.link.base * lean, box.link.base / lean
+        if box.alone:
+            down = up = box.link.base + box.link.others
+        if fit * CUT_ABOVE < 1:
+            ready = [s for s in playing if self.now - s.changed_at > DWELL_DOWN_MS]
+            self.step_down(ready, down * (1 - fit) + done, box.dice)
             return
-        room = self.lift_room(box)
+        fit = min(p.fit(p.doubt(self.now)) for p in box.pipes)
+        room = up * (fit * LIFT_BELOW - 1) - done
         dwell = 1000 * DWELL_UP * self.settings.switch_cost_s
         ready = [s for s in playing if s.rung < s.plan.top and self.now - s.changed_at > dwell]
         for s in sorted(ready, key=lambda s: -s.plan.prices[s.rung - s.plan.floor]):
             for rung in range(max(s.plan.rungs[level], s.rung + 1), s.rung, -1):
-                if s.plan.kb[rung] - s.kb <= room:
+                part = box.dice if rung == s.rung + 1 else 1.0
+                if room > 0 and part * (s.plan.kb[rung] - s.kb) <= room:
                     self.set_rung(s, rung)
                     return
 
-    def lift_room(self, box: Box) -> float:
-        return min(LIFT_BELOW * self.budget(p) - p.own for p in box.pipes)
+    def step_down(self, ready: list[Session], give: float, dice: float) -> None:
+        """The cheapest steps go first."""
+        aims: dict[int, int] = {}
+        steps = [(s.plan.prices[r - 1 - s.plan.floor], -r, n) for n, s in enumerate(ready) for r in s.above()]
+        for _, r, n in sorted(steps):
+            step = ready[n].plan.kb[-r] - ready[n].plan.kb[-r - 1]
+            if give <= (1 - dice) * step:
+                break
+            aims[n], give = -r - 1, give - step
+        for n, rung in aims.items():
+            self.set_rung(ready[n], rung)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -298,12 +298,12 @@
 def test_neighbour_on_one_link_does_not_cut_its_rack() -> None:
     """Shares short on one server only are its link's: the rack's other sessions keep their rung."""
     front = started(make_settings(report_fields=("utilization",)), make_servers(6))
-    before = front.racks[0].limit
+    before = front.racks[0].cap
     front.handle(20000.0, [Note(9000, 0, 100, NoteKind.SHARE, 0.5)])
-    assert front.racks[0].limit == before
+    assert front.racks[0].cap == before
     mates = [n for n in range(6) if n % 3 == 0]
     front.handle(24000.0, [Note(9000 + n, 0, 100 + n, NoteKind.SHARE, 0.5) for n in mates])
-    assert front.racks[0].limit < before
+    assert front.racks[0].cap < before
 
 
 def test_over_asked_link_steps_low_sessions_down(settings: Settings) -> None:
@@ -327,11 +327,11 @@
     box = front.boxes[100]
     handed = [HandedOver(request(n, title=n), 100) for n in range(4)]
     front.handle(20000.0, [*handed, *(Note(n, 0, 100, NoteKind.RUNG, 2.0) for n in range(4))])
-    box.link.hear(20000.0, 0.92, 0.0)  # just at the target: no room
+    box.link.hear(20000.0, 1.0 * box.link.cap, 0.0)  # just at the target: no room
     actions = front.handle(20010.0, [request(50, cls=0, title=50)])
     lowered = {a.id: a.rung for a in of(actions, SetRung) if a.id < 4}
     assert len(lowered) == 2 and of(actions, SetUp)
-    box.link.hear(20020.0, 0.5, 0.0)
+    box.link.hear(20020.0, 0.3 * box.link.cap, 0.0)
     front.handle(20100.0, [Playing(50, 0, 100, 60.0)])
     back = front.handle(20200.0, [AttemptEnded(50, 0, 100, Outcome.OK, True, 190.0)])
     regained = {a.id: a.rung for a in of(back, SetRung)}
@@ -342,9 +342,10 @@
     """A reserve's rest that is too small for one session must not lock that session out."""
     front = started(settings, make_servers(1), handed=False)
     box = front.boxes[100]
-    box.quota, box.slot_kb = (1, 0), 900.0  # this front's third of the reserve: 300 kB a second
-    box.link.hear(20000.0, 0.0, 0.0)
-    box.proven = True
+    box.quota, box.slot_kb, box.quota_at = (1, 0), 300.0, 30000.0
+    front.now = 20000.0
+    for pipe in box.pipes:
+        pipe.hear(20000.0, 0.0, 0.0)
     box.link.change(20000.0, front.room(box) - 550.0)
     assert front.room(box) == pytest.approx(550.0)  # 250 of it in the pool, the session asks 491
     assert of(front.handle(20000.0, [request(2, cls=0, title=2)]), SetUp)
@@ -353,7 +354,8 @@
 def test_holders_known_full_are_not_drawn(settings: Settings) -> None:
     front = started(settings, make_servers(6))
     for n in range(5):
-        front.boxes[100 + n].link.hear(20000.0, 1.5, 0.0)
+        front.boxes[100 + n].link.hear(20000.0, 1.5 * 6772.0, 0.0)
+    front.boxes[105].link.hear(20000.0, 0.2 * 6772.0, 0.0)
     sent = [a for n in range(3) for a in of(front.handle(20000.0, [request(n, top=0)]), SetUp)]
     assert [a.server for a in sent] == [105, 105, 105]
 
@@ -362,12 +364,11 @@
     """Reports stay out while a link gives less: the share told short makes the room smaller."""
     front = started(settings, make_servers(2))
     for n in range(2):
-        front.boxes[100 + n].link.hear(18000.0, 0.5, 0.0)
-        front.racks[n].hear(18000.0, 0.5, 0.0)
-    before = front.budget(front.boxes[100].link), front.budget(front.racks[0])
+        front.boxes[100 + n].link.hear(18000.0, 0.5 * 6772.0, 0.0)
+        front.racks[n].hear(18000.0, 0.5 * 18548.0, 0.0)
+    before = front.room(front.boxes[100])
     front.handle(20000.0, [Note(9000, 0, 100, NoteKind.SHARE, 0.6)])
-    after = front.budget(front.boxes[100].link), front.budget(front.racks[0])
-    assert sum(after) < sum(before)
+    assert front.room(front.boxes[100]) < before
 
 
 def test_share_of_nothing_is_a_stalled_server_not_a_narrow_link(settings: Settings) -> None:
@@ -402,7 +403,7 @@
     taken = []
     for ref in (50, 51):
         now = 20000.0 + ref
-        box.link.hear(now, 1.2, 0.0)
+        box.link.hear(now, 1.2 * box.link.cap, 0.0)
         taken.append(bool(of(front.handle(now, [request(ref, cls=0, title=ref)]), SetUp)))
     assert front.sessions[0].rung > 0 and front.sessions[1].rung > 0, "they could fall further"
     assert taken == [True, False]
