--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -26,7 +26,6 @@
 FULL_BELOW = 0.92  # of the link use at which a server turns set-ups away
 FIRST_USE = 0.75  # use of the fleet before any report was heard: grow cautious
 SPREAD = 0.2  # of that use from server to server, before it was seen
-JUMP = 0.05  # of the same from report to report, before it was seen
 FADE_MS = 30000.0  # in which a report fades to what is usual elsewhere: most of a session's life
 LEDGER_MS = 5000.0  # own use is remembered this long: reports are late by less
 SMOOTH = 0.6  # weight of the newest report of other use against the older ones (reports are noisy)
@@ -39,6 +38,7 @@
 EXPLAINED = 0.9  # told use times the delivered share from which the one explains the other
 REGAIN = 0.01  # then, each tick that it binds, it is tried for so much more
 LEAN = 2.0  # most by which sessions off the common level are hurried, or spared, when all must step
+LIMIT_OVER = 1.2  # over own use: a limit that is not tried is no knowledge
 DWELL_UP = 20.0  # switch costs for which a rung is kept before a lift: a lift must have time to pay for it
 DWELL_DOWN_MS = 4000.0  # nor cut again before a report can tell of the last cut
 EVIDENCE_BAR = 1.5  # evidence at which a server is left alone: two failures nearly in a row
@@ -47,7 +47,6 @@
 BACKOFF_CAP_MS = 8000.0
 SURE = (Outcome.CONNECT_FAILED, Outcome.RESET)  # ends that bar a server at once: its process is down
 DOUBT = (Outcome.TIMEOUT, Outcome.ERROR)  # ends that count as evidence of 1
-FLEET_PART = 0.5  # part of the servers barred at once above which the fleet is blamed, not the servers
 STALLED_SHARE = 0.15  # delivered share under which a server is taken to stand still
 FIRST_SET_UP_MS = 150.0  # set-up time before any was seen
 SET_UP_SPREADS = 4.0  # spreads over the usual set-up time at which an attempt is given up
@@ -103,6 +102,7 @@
         self.top = max(cls.floor, min(top, cls.top, len(settings.ladder_kb) - 1))
         self.worth = worth
         self.kb = [rate * cls.scale for rate in settings.ladder_kb]
+        self.rungs, self.rates = list[int](), list[float]()  # at each level
         self.prices: list[float] = []  # of the step onto each rung above the floor, falling
         for r in range(self.floor + 1, self.top + 1):
             gain = worth * (settings.ladder_worth[r] - settings.ladder_worth[r - 1])
@@ -111,10 +111,6 @@
             max(self.prices[n:]) for n in range(len(self.prices))
         ]  # no dear step behind a poor one
 
-    def price_out(self, levels: list[float]) -> None:
-        self.rungs = [self.floor + sum(1 for p in self.prices if p >= level) for level in levels]
-        self.rates = [self.kb[r] for r in self.rungs]
-
 
 class Pipe:
     """A server's link or a rack's uplink: what it gives, what this front asks of it, and the rest."""
@@ -122,12 +118,14 @@
     def __init__(self, cap: float, levels: int, usual: list[float], target: float = TARGET) -> None:
         self.cap, self.target = cap, target
         self.usual = usual  # lately asked by others of such pipes, over the span: shared by all of a kind
+        self.told = True  # what is asked of it in all; else the links of its rack are samples
         self.span = cap  # what a use of 1 means; for an untold uplink the links of its rack
         self.own = 0.0
         self.want = [0.0] * levels  # own sessions' rates at each price level
         self.past: deque[tuple[float, float]] = deque()  # (time, own use up to then)
         self.others = 0.0
         self.base = 0.0  # own use that the last report of this pipe knew of
+        self.limit = 0.0  # of own use, where what is asked in all is not told
         self.short_at = float("-inf")  # last found short though its told use does not explain it
         self.heard_at = float("-inf")
 
@@ -137,16 +135,16 @@
             self.past.popleft()
         self.own = max(0.0, self.own + kb)
 
-    def hear(self, now: float, total: float, lag: float, weight: float = SMOOTH) -> None:
-        """A report of what is asked in all, in kB, as of `lag` ago."""
+    def hear(self, now: float, total: float, lag: float, weight: float = SMOOTH) -> None:  # as of `lag` ago
         old = self.unowned(now)
         self.base = next((own for at, own in self.past if at > now - lag), self.own)
         others = max(0.0, total - self.base)
-        off = others / self.span - self.usual[0]
-        self.usual[0] += GAIN * off
-        self.usual[1] += GAIN * (abs(off) - self.usual[1])
-        if now - self.heard_at < STALE_MS:
-            self.usual[2] += GAIN * (abs(others - self.others) / self.span - self.usual[2])
+        if self.told:
+            off, jump = others / self.span - self.usual[0], abs(others - self.others) / self.span
+            self.usual[0] += GAIN * off
+            self.usual[1] += GAIN * (abs(off) - self.usual[1])
+            if now - self.heard_at < STALE_MS:
+                self.usual[2] += GAIN * (jump - self.usual[2])
         self.others = others if self.heard_at == float("-inf") else weight * others + (1 - weight) * old
         self.heard_at = now
 
@@ -155,12 +153,15 @@
         kept = max(0.0, 1 - (now - self.heard_at) / FADE_MS)
         return kept * self.others + (1 - kept) * self.usual[0] * self.span
 
-    def load(self, now: float) -> float:
-        return (self.own + self.unowned(now)) / self.cap
+    def room(self, now: float) -> float:
+        asked = self.own + self.unowned(now)
+        room = self.target * self.cap - asked
+        return room if self.told or not self.own else min(room, asked * (self.limit / self.own - 1))
 
     def doubt(self, now: float) -> float:
         """What may be asked of it over the estimate: what it jumps by, and more with its age."""
-        return (self.usual[2] + min(1.0, (now - self.heard_at) / FADE_MS) * self.usual[1]) * self.span
+        age = min(1.0, (now - self.heard_at) / FADE_MS)
+        return (self.usual[2] + age * self.usual[1]) * self.span * self.told
 
     def fit(self, less: float = 0.0) -> float:
         """What it may be asked over what it was asked by the last report."""
@@ -173,7 +174,6 @@
         self.pipes = [link] if uplink is None else [link, uplink]
         self.sessions: dict[int, Session] = {}
         self.quota, self.quota_at, self.slot_kb = (0, 0), now, 1.0
-        self.alone = False  # the last report came at a set-up: no other front has heard it
         self.dice = 0.5  # of the last report: rounds this front's part of a change to whole steps
         self.share, self.share_at = 1.0, float("-inf")  # last told share of the rates delivered
         self.evidence, self.barred_until, self.backoff = 0.0, float("-inf"), BACKOFF_MS
@@ -184,7 +184,7 @@
     def __init__(self, told: i.NewSession, cls: i.SessionClass, plan: Plan, now: float) -> None:
         self.told, self.cls, self.plan = told, cls, plan
         self.deadline, self.started, self.changed_at = now + told.left_ms, now, float("-inf")
-        self.premium = self.playing = self.gone = self.maybe_ran = False
+        self.premium = self.playing = self.gone = self.maybe_ran = self.settled = False
         self.paid = cls.repeat != Repeat.SAFE
         self.box: Box | None = None
         self.rung, self.kb = plan.floor, 0.0
@@ -193,10 +193,6 @@
         self.was_sub_rated = False  # only once in its life
         self.attempts, self.tried = 0, list[int]()
 
-    def above(self) -> range:
-        """The rungs that it could step down from."""
-        return range(self.plan.floor + 1, self.rung + 1)
-
 
 class Front:
     def __init__(self, settings: i.Settings, seed: int) -> None:
@@ -207,9 +203,8 @@
         self.order: list[Box] = []  # the same, to draw from
         self.by_cell: dict[int, list[Box]] = {}
         self.held: dict[Box, None] = {}  # those with own sessions: nothing else is walked
-        self.racks: dict[int, Pipe] = {}
         first = FIRST_USE * (settings.fronts - 1) / settings.fronts
-        self.usual = [first, SPREAD, JUMP], [first, SPREAD, JUMP]  # of links, of uplinks: use by others
+        self.usual = [first, SPREAD, 0.0], [first, SPREAD, 0.0]  # of links, of uplinks: use by others
         self.sessions: dict[int, Session] = {}
         self.seats: dict[tuple[int, int], int] = {}
         self.born: float | None = None
@@ -241,7 +236,16 @@
         prices = {0.0, *(p for plan in self.plans.values() for p in plan.prices)}
         self.levels = [p * (1 + 1e-9) for p in sorted(prices)]
         for plan in self.plans.values():
-            plan.price_out(self.levels)
+            plan.rungs = [plan.floor + sum(p >= level for p in plan.prices) for level in self.levels]
+            plan.rates = [plan.kb[r] for r in plan.rungs]
+        self.racks: dict[int, Pipe] = {}
+        for n in range(settings.racks if settings.uplink_kb else 0):
+            up = self.racks[n] = Pipe(settings.uplink_kb, len(self.levels), self.usual[not self.untold])
+            up.told, up.span, up.limit = (
+                not self.untold,
+                up.span * (not self.untold),
+                up.cap / settings.fronts,
+            )
         self.want = [0.0] * len(self.levels)  # of all own sessions: a sample of everybody's
 
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
@@ -299,12 +303,7 @@
         most = min(TARGET, FULL_BELOW * self.settings.full_from or TARGET)
         link_kb = max(1.0, self.settings.link_kb_per_weight * size)
         link = Pipe(link_kb, len(self.levels), self.usual[0], most)
-        rack = told.cell % self.settings.racks if self.settings.racks and self.settings.uplink_kb else None
-        if rack is not None and rack not in self.racks:
-            usual = self.usual[not self.untold]
-            up = self.racks[rack] = Pipe(self.settings.uplink_kb, len(self.levels), usual)
-            up.span *= not self.untold
-        uplink = None if rack is None else self.racks[rack]
+        uplink = self.racks.get(told.cell % max(1, self.settings.racks))
         return Box(told, link, uplink, self.now + self.random.random() * QUOTA_PERIOD_MS)
 
     def on_new(self, told: i.NewSession) -> None:
@@ -312,8 +311,6 @@
         self.taken.append(self.now)
         self.counts[s.premium] += 1.0
         self.worths[s.premium] += GAIN * (s.plan.worth - self.worths[s.premium])
-        if told.length_ms > 0:
-            self.length_ms += GAIN * (told.length_ms - self.length_ms)
         self.place(s)
 
     def session(self, told: i.NewSession, over: bool) -> Session:
@@ -323,8 +320,7 @@
         s.premium = plan.worth > self.cheapest
         return s
 
-    def over_share(self, tenant: int) -> bool:
-        """A bucket of this front's part of the tenant's told rate."""
+    def over_share(self, tenant: int) -> bool:  # a bucket of this front's part of the told rate
         told = self.settings.tenants[tenant : tenant + 1]
         quota = sum(t.quota_per_s for t in told) / self.settings.fronts
         if quota <= 0:
@@ -336,8 +332,7 @@
         self.tenant_room[tenant] = (room if over else room - 1, self.now)
         return over
 
-    def rate(self) -> float:
-        """Own arrivals a millisecond; the counts fade."""
+    def rate(self) -> float:  # own arrivals a millisecond; the counts fade
         kept = max(0.0, 1 - (self.now - self.counted_at) / RATE_WINDOW_MS)
         self.counts = [c * kept for c in self.counts]
         self.seen_ms = kept * self.seen_ms + self.now - self.counted_at
@@ -362,14 +357,7 @@
         box.quota = self.splits[key]
 
     def room(self, box: Box) -> float:
-        """Of the whole server: sessions do not divide among the fronts."""
-        return min(p.target * p.cap - p.own - p.unowned(self.now) for p in box.pipes)
-
-    def rivals(self) -> float:
-        """Requests of all fronts that one server's room must do for until its next report."""
-        period = self.settings.reports_every_ms or STALE_MS
-        asked = self.rate() * self.settings.fronts * period / max(1, len(self.boxes))
-        return max(1.0, min(self.settings.fronts, asked))
+        return min(p.room(self.now) for p in box.pipes)
 
     def level(self, box: Box, plan: Plan | None) -> int:
         """The lowest price level at which all sessions there, taken to be as this front's, and `plan` fit."""
@@ -386,13 +374,15 @@
         if s.cls.seats and self.seats.get((s.told.cls, s.told.title), 0) >= s.cls.seats:
             self.give_up(s)
             return
+        # Where more requests may act on one report than fit, each does so with that probability.
+        period, fronts = self.settings.reports_every_ms or STALE_MS, self.settings.fronts
+        rivals = min(fronts, self.rate() * fronts * period / max(1, len(self.boxes)))
         pair, luck = self.pick(s), self.random.random()
         for box in pair:
             doubt = max(p.doubt(self.now) for p in box.pipes)
             for rung in range(s.plan.rungs[self.level(box, s.plan)], s.plan.floor - 1, -1):
                 kb = s.plan.kb[rung]
-                # Where more may act on a report than fit, each does so with that probability.
-                ask = kb + doubt if rung > s.plan.floor else max(kb, kb * luck * self.rivals())
+                ask = kb + doubt if rung > s.plan.floor else max(kb, kb * luck * rivals)
                 if part := self.part(box, s.premium, ask):
                     self.send(s, box, rung, part)
                     return
@@ -421,8 +411,10 @@
     def sub_rate(self, box: Box, s: Session) -> bool:
         """Alpha low pool sessions drop enough rungs to free the premium session's rate together."""
         need = s.plan.kb[s.plan.floor] - max(0.0, self.room(box))
-        pool = [low for low in box.sessions.values() if low.playing and low.part == "pool"]
-        pool = [low for low in pool if not (low.premium or low.was_sub_rated)]
+        able = [
+            low for low in box.sessions.values() if low.playing and not (low.premium or low.was_sub_rated)
+        ]
+        pool = [low for low in able if low.part == "pool"]
         chosen = sorted(pool, key=lambda low: low.plan.kb[low.plan.floor] - low.kb)[:ALPHA]
         if sum(low.kb - low.plan.kb[low.plan.floor] for low in chosen) < need:
             return False
@@ -454,19 +446,15 @@
             moved[k] = moved.get(n, n)
             if box.told.state != ServerState.READY or box.told.id in s.tried:
                 continue
-            if self.healthy(box, s.paid) and self.warm_enough(box):
+            if s.paid and box.evidence > EVIDENCE_PROVEN:
+                continue
+            if self.now >= box.barred_until and self.warm_enough(box):
                 full = self.room(box) < s.plan.kb[s.plan.floor]
                 (spare if full else good).append(box)
                 if len(good) == 2:
                     break
         pair = (good or spare)[:2]
-        return sorted(pair, key=lambda b: max(p.load(self.now) for p in b.pipes))
-
-    def healthy(self, box: Box, paid: bool) -> bool:
-        if self.now >= box.barred_until:
-            return box.evidence <= EVIDENCE_PROVEN or not paid
-        sick = sum(b.evidence >= EVIDENCE_BAR for b in self.order)
-        return not paid and sick > FLEET_PART * len(self.boxes)
+        return sorted(pair, key=lambda b: -min(p.room(self.now) / p.cap for p in b.pipes))
 
     def blame(self, box: Box, weight: float, restart: bool) -> None:
         """One score for every sign that a server does not serve; what raises it is told apart only here."""
@@ -501,8 +489,6 @@
         mine = (int(turn) * group - self.settings.index) % fronts < group and turn % 1 < 0.5
         return mine and self.now - box.cold_sent > gap / 2
 
-    # Attempts
-
     def send(self, s: Session, box: Box, rung: int, part: str) -> None:
         self.out.append(i.SetRung(s.told.id, rung))
         timeout = 0.0
@@ -535,36 +521,38 @@
         """Seats and rates count from the set-up (or the hand-over) to the report of the end."""
         key = (s.told.cls, s.told.title)
         self.seats[key] = self.seats.get(key, 0) + sign
-        self.add_own(s, sign * s.kb)
+        self.add_own(s, sign * s.kb, True)
         for want in [self.want, *(p.want for p in (s.box.pipes if s.box else ()))]:
             want[:] = [w + sign * r for w, r in zip(want, s.plan.rates, strict=True)]
 
-    def add_own(self, s: Session, kb: float) -> None:
+    def add_own(self, s: Session, kb: float, joins: bool) -> None:
+        """For what joins an untold uplink, the sessions of the other fronts make room as well."""
         self.own = max(0.0, self.own + kb)
         self.own_high = max(0.0, self.own_high + kb * s.premium)
         for pipe in s.box.pipes if s.box else ():
             pipe.change(self.now, kb)
+            pipe.limit = max(0.0, pipe.limit + joins * kb * (1 - 1 / self.settings.fronts))
 
-    def set_rung(self, s: Session, rung: int, told: bool = False) -> None:
+    def set_rung(self, s: Session, rung: int, told: bool = False, joins: bool = False) -> None:
         if not told:
             self.out.append(i.SetRung(s.told.id, rung))
             s.changed_at = self.now
-        self.add_own(s, s.plan.kb[rung] - s.kb)
+        self.add_own(s, s.plan.kb[rung] - s.kb, joins)
         s.rung, s.kb = rung, s.plan.kb[rung]
 
     def may_retry(self, s: Session) -> bool:
         spent = s.attempts >= self.settings.max_attempts or s.deadline - self.now < MIN_ATTEMPT_MS
-        if spent or (s.maybe_ran and s.paid) or self.settings.retry_free is None:
-            return not (spent or (s.maybe_ran and s.paid))
         since = self.now - self.settings.retry_span_ms
         taken, again = (sum(t > since for t in times) for times in (self.taken, self.retried))
-        return again + 1 <= self.settings.retry_free + self.settings.retry_share * taken
+        most = float("inf") if self.settings.retry_free is None else self.settings.retry_free
+        return (
+            not (spent or (s.maybe_ran and s.paid)) and again + 1 <= most + self.settings.retry_share * taken
+        )
 
     def give_up(self, s: Session) -> None:
         """The final answer, at once: refused where no attempt can have run or that does no harm."""
         pause = self.settings.max_pause_ms if self.settings.pause_advice else 0.0
-        fail = s.maybe_ran and s.paid
-        self.out.append(i.Fail(s.told.id) if fail else i.Refuse(s.told.id, pause))
+        self.out.append(i.Fail(s.told.id) if s.maybe_ran and s.paid else i.Refuse(s.told.id, pause))
         del self.sessions[s.told.id]
 
     def on_playing(self, event: i.Playing) -> None:
@@ -581,7 +569,10 @@
         s = self.sessions.get(event.id)
         box = s.box if s else self.boxes.get(event.server)
         if box:
-            self.read_report(box, event.report)
+            for name, value in zip(self.settings.report_fields, event.report, strict=False):
+                if name in ("x0", "x1") or (name == "utilization" and value < 0.99):
+                    kind = i.NoteKind.UPLINK if name == "x1" else i.NoteKind.LINK
+                    self.hear(box, kind, value, TICK_MS)
         if s is None:
             return
         self.detach(s)
@@ -590,8 +581,7 @@
         elif box and event.outcome in (*SURE, *DOUBT):
             weight = EVIDENCE_BAR if event.outcome in SURE else 1.0
             self.blame(box, weight, event.outcome != Outcome.ERROR)
-        if event.outcome == Outcome.OK:
-            self.length_ms += GAIN * (self.now - s.started - self.length_ms)
+        self.length_ms += GAIN * (self.now - s.started - self.length_ms) * (event.outcome == Outcome.OK)
         if s.playing and box and s.premium:
             self.restore(box)
         if event.closed or s.gone:
@@ -600,19 +590,12 @@
         s.maybe_ran |= event.outcome not in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
         (self.place if self.may_retry(s) else self.give_up)(s)
 
-    def read_report(self, box: Box, report: tuple[float, ...]) -> None:
-        for name, value in zip(self.settings.report_fields, report, strict=False):
-            if name == "x0" or (name == "utilization" and value < 0.99):
-                self.hear(box, i.NoteKind.LINK, value, TICK_MS)
-            elif name == "x1":
-                self.hear(box, i.NoteKind.UPLINK, value, TICK_MS)
-
     def hear(self, box: Box, kind: int, use: float, lag: float) -> None:
         if not 0 <= use < float("inf"):
             return
         if kind == i.NoteKind.LINK:
             box.link.hear(self.now, use * box.link.cap, lag)
-            box.dice, box.alone = self.random.random(), lag < TICK_MS / 2
+            box.dice = self.random.random()
         if box.uplink and (kind == i.NoteKind.UPLINK or self.untold):  # untold: its links are samples of it
             box.uplink.hear(self.now, use * box.uplink.span, lag, SMOOTH / 2 if self.untold else SMOOTH)
 
@@ -623,24 +606,20 @@
     def on_handed_over(self, event: i.HandedOver) -> None:
         told = event.session
         s = self.session(told, False)
-        s.playing, s.attempts, s.part = True, 1, "pool"
-        box = self.boxes.get(event.server)
-        if box is None:  # not on the list that came with the start: keep its session, send nothing there
-            told_box = i.Server(event.server, 0, 1.0, 0, told.first_cell, 0.0, ServerState.GONE)
-            box = self.new_box(told_box, self.places(told_box))
+        s.playing, s.settled, s.attempts, s.part = True, True, 1, "pool"
+        gone = i.Server(event.server, 0, 1.0, 0, told.first_cell, 0.0, ServerState.GONE)
+        box = self.boxes.get(event.server) or self.new_box(gone, self.places(gone))  # unlisted: send nothing
         self.counts[s.premium] += 1.0  # sessions held stand for the arrivals of one length
         self.seen_ms = max(self.seen_ms, self.length_ms)
         self.attach(s, box)
 
-    # Notes and rung control
-
     def on_note(self, event: i.Note) -> None:
         s = self.sessions.get(event.id)
         if s is None or s.box is None:
             return
         lag = min(self.settings.told_late_ms, self.now - s.started)  # those at set-up tell of now
         if event.kind == i.NoteKind.RUNG:
-            self.set_rung(s, int(event.value), told=True)
+            self.set_rung(s, max(0, min(int(event.value), len(s.plan.kb) - 1)), told=True, joins=True)
         elif event.kind == i.NoteKind.SHARE:
             self.on_share(s.box, event.value)
         else:
@@ -662,22 +641,23 @@
         ]
         best = max([share, *(m.share if m.share_at > since else 1.0 for m in mates)])
         pipe = box.link
-        if up and best < SHORT and (len(mates) > 1 or pipe.load(self.now) * best < EXPLAINED):
+        if up and best < SHORT and (len(mates) > 1 or pipe.fit() * EXPLAINED > best):
             pipe, share = up, best
-        if pipe.short_at > since or pipe.load(self.now) * share > EXPLAINED:
+        if pipe.short_at > since or (pipe.told and pipe.fit() * EXPLAINED < share):
             return  # what comes within the hold still tells of before the cut
         pipe.short_at = self.now
-        if pipe is up and self.untold:  # it gives less than was thought
-            pipe.cap = share * (pipe.own + pipe.unowned(self.now))
+        if pipe is up and self.untold:
+            late = self.now - self.settings.told_late_ms
+            pipe.limit = share * next((own for at, own in pipe.past if at > late), pipe.own)
         else:
             pipe.hear(self.now, pipe.cap / share, self.settings.told_late_ms)
 
     def on_tick(self, _: i.TimerDue) -> None:
         self.out.append(i.SetTimer(0, TICK_MS))
-        if self.untold:
-            for up in {b.uplink: None for b in self.held if b.uplink}:
-                if self.now - up.short_at > SHORT_HOLD_MS and up.load(self.now) > LIFT_BELOW:
-                    up.cap *= 1 + REGAIN
+        for up in {b.uplink: None for b in self.held if b.uplink and self.untold}:
+            if self.now - up.short_at > SHORT_HOLD_MS:
+                most = max(LIMIT_OVER * up.own, up.cap / self.settings.fronts)
+                up.limit = max(up.limit, min(up.limit * (1 + REGAIN), most))
         for box in self.held:
             self.control(box)
 
@@ -689,20 +669,25 @@
         playing = [s for s in box.sessions.values() if s.playing]
         if self.now - box.link.heard_at > STALE_MS or not playing:
             return
-        pipes, level = box.pipes, self.level(box, None)
-        if self.untold and box.uplink and self.now - box.uplink.short_at > SHORT_HOLD_MS:
-            pipes = [box.link]  # untold use is guessed from samples: only shares start a cut by it
-        fit, done = min(p.fit() for p in pipes), box.link.own - box.link.base  # changed since the report
+        level, up = self.level(box, None), box.uplink
+        for s in playing:
+            if not s.settled and s.started <= box.link.heard_at:
+                self.settle(box, s, s.plan.rungs[level])
+        # The use of untold uplinks is guessed from samples: only what shares let through starts a cut by it.
+        fit, done = min(p.fit() for p in box.pipes if p.told), box.link.own - box.link.base
         lean = max(1 / LEAN, min(LEAN, box.link.own / max(1.0, box.link.want[level])))
-        down, up = box.link.base * lean, box.link.base / lean
-        if box.alone:
-            down = up = box.link.base + box.link.others
-        if fit * CUT_ABOVE < 1:
+        give = box.link.base * lean * (1 - fit) + done if fit * CUT_ABOVE < 1 else 0.0
+        room = (
+            box.link.base / lean * (min(p.fit(p.doubt(self.now)) for p in box.pipes) * LIFT_BELOW - 1) - done
+        )
+        if up and not up.told:
+            room = min(room, up.limit - up.own)
+            if up.own > CUT_ABOVE * up.limit:
+                give = max(give, (1 - up.limit / up.own) * box.link.own)
+        if give > 0:
             ready = [s for s in playing if self.now - s.changed_at > DWELL_DOWN_MS]
-            self.step_down(ready, down * (1 - fit) + done, box.dice)
+            self.step_down(ready, give, box.dice)
             return
-        fit = min(p.fit(p.doubt(self.now)) for p in box.pipes)
-        room = up * (fit * LIFT_BELOW - 1) - done
         dwell = 1000 * DWELL_UP * self.settings.switch_cost_s
         ready = [s for s in playing if s.rung < s.plan.top and self.now - s.changed_at > dwell]
         for s in sorted(ready, key=lambda s: -s.plan.prices[s.rung - s.plan.floor]):
@@ -712,10 +697,19 @@
                     self.set_rung(s, rung)
                     return
 
-    def step_down(self, ready: list[Session], give: float, dice: float) -> None:
-        """The cheapest steps go first."""
+    def settle(self, box: Box, s: Session, top: int) -> None:
+        """A newcomer takes the rung that its set-up note leaves room for: no other front has heard it yet."""
+        s.settled, spare = True, min(p.room(self.now) - p.doubt(self.now) for p in box.pipes)
+        fit = [r for r in range(s.plan.floor, top + 1) if s.plan.kb[r] - s.kb <= spare]
+        if (rung := max(fit, default=s.plan.floor)) != s.rung:
+            self.set_rung(s, rung, joins=True)
+
+    def step_down(self, ready: list[Session], give: float, dice: float) -> None:  # the cheapest steps first
         aims: dict[int, int] = {}
-        steps = [(s.plan.prices[r - 1 - s.plan.floor], -r, n) for n, s in enumerate(ready) for r in s.above()]
+        steps: list[tuple[float, int, int]] = []
+        for n, s in enumerate(ready):
+            held = s.plan.prices[: s.rung - s.plan.floor]
+            steps += [(price, -r, n) for r, price in enumerate(held, s.plan.floor + 1)]
         for _, r, n in sorted(steps):
             step = ready[n].plan.kb[-r] - ready[n].plan.kb[-r - 1]
             if give <= (1 - dice) * step:
