--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -27,7 +27,7 @@
 FIRST_USE = 0.75  # use of the fleet before any report was heard: grow cautious
 SPREAD = 0.2  # of that use from server to server, before it was seen
 FADE_MS = 30000.0  # in which a report fades to what is usual elsewhere: most of a session's life
-LEDGER_MS = 5000.0  # own use is remembered this long: reports are late by less
+GUESS_ROOM = 0.1  # left of an uplink by a guess, whatever it says: without sessions nothing is heard
 SMOOTH = 0.6  # weight of the newest report of other use against the older ones (reports are noisy)
 STALE_MS = 10000.0  # after which a report starts no step of a rung any more
 TICK_MS = 500.0  # rung control and quota upkeep
@@ -122,7 +122,7 @@
         self.span = cap  # what a use of 1 means; for an untold uplink the links of its rack
         self.own = 0.0
         self.want = [0.0] * levels  # own sessions' rates at each price level
-        self.past: deque[tuple[float, float]] = deque()  # (time, own use up to then)
+        self.past = deque[tuple[float, float]](maxlen=256)  # (time, own use up to then): reports are late
         self.others = 0.0
         self.base = 0.0  # own use that the last report of this pipe knew of
         self.limit = 0.0  # of own use, where what is asked in all is not told
@@ -131,8 +131,6 @@
 
     def change(self, now: float, kb: float) -> None:
         self.past.append((now, self.own))
-        while self.past[0][0] < now - LEDGER_MS:
-            self.past.popleft()
         self.own = max(0.0, self.own + kb)
 
     def hear(self, now: float, total: float, lag: float, weight: float = SMOOTH) -> None:  # as of `lag` ago
@@ -140,6 +138,7 @@
         self.base = next((own for at, own in self.past if at > now - lag), self.own)
         others = max(0.0, total - self.base)
         if self.told:
+            self.usual[3] = now
             off, jump = others / self.span - self.usual[0], abs(others - self.others) / self.span
             self.usual[0] += GAIN * off
             self.usual[1] += GAIN * (abs(off) - self.usual[1])
@@ -148,14 +147,15 @@
         self.others = others if self.heard_at == float("-inf") else weight * others + (1 - weight) * old
         self.heard_at = now
 
-    def unowned(self, now: float) -> float:
-        """Asked by others: the last report, fading with its age to what is usual elsewhere."""
+    def unowned(self, now: float) -> float:  # the last report, fading with its age to what is usual elsewhere
         kept = max(0.0, 1 - (now - self.heard_at) / FADE_MS)
-        return kept * self.others + (1 - kept) * self.usual[0] * self.span
+        usual = self.usual[0] if now - self.usual[3] < FADE_MS else min(FIRST_USE, self.usual[0])
+        return kept * self.others + (1 - kept) * usual * self.span
 
     def room(self, now: float) -> float:
         asked = self.own + self.unowned(now)
-        room = self.target * self.cap - asked
+        # A guess alone refuses nobody.
+        room = max(self.target * self.cap - asked, -9e99 if self.told else GUESS_ROOM * self.cap)
         return room if self.told or not self.own else min(room, asked * (self.limit / self.own - 1))
 
     def doubt(self, now: float) -> float:
@@ -204,9 +204,12 @@
         self.by_cell: dict[int, list[Box]] = {}
         self.held: dict[Box, None] = {}  # those with own sessions: nothing else is walked
         first = FIRST_USE * (settings.fronts - 1) / settings.fronts
-        self.usual = [first, SPREAD, 0.0], [first, SPREAD, 0.0]  # of links, of uplinks: use by others
+        self.usual = (
+            [first, SPREAD, 0.0, 0.0],
+            [first, SPREAD, 0.0, 0.0],
+        )  # of links, of uplinks: use by others
         self.sessions: dict[int, Session] = {}
-        self.seats: dict[tuple[int, int], int] = {}
+        self.seats = Counter[tuple[int, int]]()
         self.born: float | None = None
         self.list_fresh = False
         self.cheapest = min(c.worth for c in settings.classes)
@@ -337,7 +340,7 @@
         self.counts = [c * kept for c in self.counts]
         self.seen_ms = kept * self.seen_ms + self.now - self.counted_at
         self.counted_at = self.now
-        return max(1.0, sum(self.counts)) / max(QUOTA_PERIOD_MS, self.seen_ms)
+        return max(1.0, sum(self.counts)) / max(1.0, self.settings.reports_every_ms, self.seen_ms)
 
     def set_quota(self, box: Box) -> None:
         """The reserves of a server by Method II; few counts or a fresh front: all in the pool."""
@@ -371,7 +374,7 @@
 
     def place(self, s: Session) -> None:
         """The ordinary path: two random holders, less loaded first; reserve, pool, sub-rating, refusal."""
-        if s.cls.seats and self.seats.get((s.told.cls, s.told.title), 0) >= s.cls.seats:
+        if s.cls.seats and self.seats[s.told.cls, s.told.title] >= s.cls.seats:
             self.give_up(s)
             return
         # Where more requests may act on one report than fit, each does so with that probability.
@@ -485,8 +488,8 @@
         group = max(1, min(fronts, int(1 / (COLD_WAVE * each))))
         if not told:
             return self.now - box.cold_sent > gap * fronts / group
-        turn = (self.now - start) / gap
-        mine = (int(turn) * group - self.settings.index) % fronts < group and turn % 1 < 0.5
+        turn, part = (self.now - start) / gap, 1.0 if group > 1 else 0.5  # apart, if of one front each
+        mine = (int(turn) * group - self.settings.index) % fronts < group and turn % 1 < part
         return mine and self.now - box.cold_sent > gap / 2
 
     def send(self, s: Session, box: Box, rung: int, part: str) -> None:
@@ -519,8 +522,7 @@
 
     def ledger(self, s: Session, sign: int) -> None:
         """Seats and rates count from the set-up (or the hand-over) to the report of the end."""
-        key = (s.told.cls, s.told.title)
-        self.seats[key] = self.seats.get(key, 0) + sign
+        self.seats[s.told.cls, s.told.title] += sign
         self.add_own(s, sign * s.kb, True)
         for want in [self.want, *(p.want for p in (s.box.pipes if s.box else ()))]:
             want[:] = [w + sign * r for w, r in zip(want, s.plan.rates, strict=True)]
@@ -549,8 +551,7 @@
             not (spent or (s.maybe_ran and s.paid)) and again + 1 <= most + self.settings.retry_share * taken
         )
 
-    def give_up(self, s: Session) -> None:
-        """The final answer, at once: refused where no attempt can have run or that does no harm."""
+    def give_up(self, s: Session) -> None:  # the final answer, at once
         pause = self.settings.max_pause_ms if self.settings.pause_advice else 0.0
         self.out.append(i.Fail(s.told.id) if s.maybe_ran and s.paid else i.Refuse(s.told.id, pause))
         del self.sessions[s.told.id]
@@ -656,8 +657,7 @@
         self.out.append(i.SetTimer(0, TICK_MS))
         for up in {b.uplink: None for b in self.held if b.uplink and self.untold}:
             if self.now - up.short_at > SHORT_HOLD_MS:
-                most = max(LIMIT_OVER * up.own, up.cap / self.settings.fronts)
-                up.limit = max(up.limit, min(up.limit * (1 + REGAIN), most))
+                up.limit = max(up.limit, min(up.limit * (1 + REGAIN), LIMIT_OVER * up.own))
         for box in self.held:
             self.control(box)
 
@@ -673,8 +673,7 @@
         for s in playing:
             if not s.settled and s.started <= box.link.heard_at:
                 self.settle(box, s, s.plan.rungs[level])
-        # The use of untold uplinks is guessed from samples: only what shares let through starts a cut by it.
-        fit, done = min(p.fit() for p in box.pipes if p.told), box.link.own - box.link.base
+        fit, done = min(p.fit() for p in box.pipes if p.told), box.link.own - box.link.base  # no guess
         lean = max(1 / LEAN, min(LEAN, box.link.own / max(1.0, box.link.want[level])))
         give = box.link.base * lean * (1 - fit) + done if fit * CUT_ABOVE < 1 else 0.0
         room = (
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -4,13 +4,15 @@
 
 import subprocess
 import sys
+from collections.abc import Iterator
 from dataclasses import replace
 from random import Random
+from typing import Any
 
 import pytest
 from conftest import make_servers, make_settings
 
-from lemonhall.decide import COLD_MARGIN, Front
+from lemonhall.decide import COLD_MARGIN, Box, Front
 from lemonhall.interface import (
     Action,
     AttemptEnded,
@@ -31,6 +33,7 @@
     SetTimer,
     Settings,
     SetUp,
+    Tenant,
     TimerDue,
     ViewerGone,
 )
@@ -400,3 +403,86 @@
         taken.append(bool(of(front.handle(now, [request(ref, cls=0, title=ref)]), SetUp)))
     assert front.sessions[0].rung > 0 and front.sessions[1].rung > 0, "they could fall further"
     assert taken == [True, False]
+
+
+def test_a_guess_of_an_untold_uplink_refuses_nobody() -> None:
+    """A front without sessions hears nothing: by a guess over the uplink it would refuse for ever."""
+    settings = make_settings(fronts=20, report_fields=("utilization",), full_from=0.0, uplink_kb=6000.0)
+    front = started(settings, make_servers(6), handed=False)
+    sent = [n for n in range(5) if of(front.handle(20000.0 + 3000 * n, [request(n, top=0)]), SetUp)]
+    assert sent == [0, 1, 2, 3, 4]
+
+
+@pytest.mark.parametrize("fronts", [3, 40, 150])
+def test_whole_room_of_a_server_is_shared_by_chance(fronts: int) -> None:
+    """Many fronts, one report, one request each: the sum neither leaves half the room nor goes past it."""
+    settings = make_settings(fronts=fronts, racks=0, uplink_kb=0.0)
+    room_kb, floor, sent, runs = 0.45 * 6772.0, 289.0, 0, 40
+    for run in range(runs):
+        for n in range(fronts):
+            front = Front(replace(settings, index=n), 1000 * run + n)
+            front.handle(0.0, [ServerList(ListKind.FULL, 1, make_servers(1))])
+            link = front.boxes[100].link
+            link.hear(2500.0, link.target * link.cap - room_kb, 0.0)
+            sent += len(of(front.handle(2500.0, [request(1, top=0)]), SetUp))
+    fits = room_kb / floor
+    assert min(fronts, fits / 2) <= sent / runs <= min(fronts, fits * 1.15)
+
+
+def test_a_cold_server_is_neither_starved_nor_swamped_by_many_fronts() -> None:
+    """100 fronts that each ask now and then keep the pace together, though no front's turn comes in time."""
+    cold = make_servers(8, ready_at=61000.0)
+    group = [started(make_settings(fronts=100, index=n), cold, 1000.0, False) for n in range(100)]
+    random, sent = Random(3), []
+    for front in group:
+        front.counts, front.seen_ms, front.counted_at = [9.0, 0.0], 60000.0, 61000.0
+    for tick in range(1100):
+        now = 61000.0 + tick * 10
+        for n, front in enumerate(group):
+            if random.random() < 0.0015:  # 15 requests a second in all
+                ups = of(front.handle(now, [request(tick * 1000 + n, top=0)]), SetUp)
+                sent += [(now, a.server) for a in ups]
+    assert len(sent) >= len(cold), "starved"
+    for server in (s.id for s in cold):
+        times = [at for at, to in sent if to == server]
+        pace = 0.4 * (27 if server % 2 == 0 else 18) / 12000.0
+        most = 2.0 * pace * 2000.0 + 2
+        assert all(sum(at <= other < at + 2000 for other in times) <= most for at in times)
+
+
+def test_tenants_within_their_share_count_within_it_at_many_fronts() -> None:
+    """A front's part of a told rate is under one session in the bucket's time: few requests are no excess."""
+    settings = make_settings(fronts=175, tenants=(Tenant(15.0),), over_share_worth=0.2)
+    front = started(settings, make_servers(6), handed=False)
+    assert not any(front.over_share(0) for _ in range(3))  # a chance cluster
+    assert front.over_share(0) and front.over_share(0)  # but a burst is seen
+    front.now += 60000.0
+    assert not front.over_share(0)
+
+
+class Counted(list[Box]):
+    """Servers to draw from that count the looks."""
+
+    looks = 0
+
+    def __getitem__(self, n: Any) -> Any:
+        self.looks += 1
+        return super().__getitem__(n)
+
+    def __iter__(self) -> Iterator[Box]:
+        self.looks += len(self)
+        return super().__iter__()
+
+
+def test_work_grows_with_own_sessions_not_with_the_fleet() -> None:
+    """Ticks and requests of a front with 3 sessions look at as many of 160 servers as of 20."""
+    looks = []
+    for count in (20, 160):
+        front = started(make_settings(fronts=200, cells=count), make_servers(count), handed=False)
+        new = [replace(request(n, title=n, top=0), cells=count) for n in range(13)]
+        front.handle(20000.0, [HandedOver(session, 100 + session.id) for session in new[:3]])
+        front.order = order = Counted(front.order)
+        for session in new[3:]:
+            front.handle(20000.0 + 500 * session.id, [TimerDue(0), session])
+        looks.append(order.looks)
+    assert 10 <= looks[1] <= looks[0] * 1.2
