--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -574,7 +574,7 @@
                 if name in ("x0", "x1") or (name == "utilization" and value < 0.99):
                     kind = i.NoteKind.UPLINK if name == "x1" else i.NoteKind.LINK
                     self.hear(box, kind, value, TICK_MS)
-        if s is None:
+        if s is None or event.attempt != s.attempts - 1:  # unknown, or of an attempt that has ended
             return
         self.detach(s)
         if box and event.outcome == Outcome.FULL:
@@ -616,7 +616,7 @@
 
     def on_note(self, event: i.Note) -> None:
         s = self.sessions.get(event.id)
-        if s is None or s.box is None:
+        if s is None or s.box is None or not 0 <= event.value < float("inf"):
             return
         lag = min(self.settings.told_late_ms, self.now - s.started)  # those at set-up tell of now
         if event.kind == i.NoteKind.RUNG:
--- a/lemonhall/interface.py
+++ b/lemonhall/interface.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum, IntEnum
+from math import inf
 
 
 class Repeat(Enum):
@@ -108,6 +109,21 @@
     retry_share: float = 0.0
     retry_span_ms: float = 0.0
 
+    def __post_init__(self) -> None:
+        """What no front can work with is refused at start, with the name of the setting."""
+        checks = {
+            "fronts": self.fronts >= 1,
+            "classes": bool(self.classes),
+            "ladder_kb": bool(self.ladder_kb) and min(self.ladder_kb) > 0,
+            "ladder_worth": len(self.ladder_worth) == len(self.ladder_kb),
+            "places_by_kind": bool(self.places_by_kind) and min(self.places_by_kind) > 0,
+            "link_kb_per_weight": 0 < self.link_kb_per_weight < inf,
+            "cells": self.cells >= 1,
+        }
+        for name, fine in checks.items():
+            if not fine:
+                raise ValueError(f"settings: {name} cannot be {getattr(self, name)!r}")
+
 
 @dataclass(frozen=True)
 class Server:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -486,3 +486,94 @@
             front.handle(20000.0 + 500 * session.id, [TimerDue(0), session])
         looks.append(order.looks)
     assert 10 <= looks[1] <= looks[0] * 1.2
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("fronts", 0),
+        ("classes", ()),
+        ("ladder_kb", ()),
+        ("ladder_worth", (0.5,)),
+        ("places_by_kind", ()),
+        ("link_kb_per_weight", float("nan")),
+        ("cells", 0),
+    ],
+)
+def test_settings_that_cannot_work_are_refused_by_name(name: str, value: object) -> None:
+    with pytest.raises(ValueError, match=name):
+        make_settings(**{name: value})
+
+
+def test_unknown_report_fields_and_missing_caps_take_defaults(settings: Settings) -> None:
+    front = started(replace(settings, report_fields=("strange", "x0"), max_pause_ms=0.0), make_servers())
+    (sent,) = of(front.handle(20000.0, [request(1)]), SetUp)
+    front.handle(20050.0, [Playing(1, 0, sent.server, 50.0)])
+    front.handle(20100.0, [AttemptEnded(1, 0, sent.server, Outcome.OK, True, 9.0, (7.0, 0.6))])
+    link = front.boxes[sent.server].link
+    assert link.others + link.base == pytest.approx(0.6 * link.cap, rel=0.5)
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf"), -1.0])
+@pytest.mark.parametrize("kind", [*NoteKind, 99])
+def test_notes_out_of_range_change_nothing(settings: Settings, kind: int, value: float) -> None:
+    front = started(settings, make_servers())
+    before = [(s.rung, s.kb) for s in front.sessions.values()]
+    room = {n: front.room(b) for n, b in front.boxes.items()}
+    assert front.handle(0.0, [Note(9000, 0, 100, kind, value)]) == []
+    assert before == [(s.rung, s.kb) for s in front.sessions.values()]
+    assert room == {n: front.room(b) for n, b in front.boxes.items()}
+
+
+def test_events_of_unknown_sessions_and_servers_do_nothing(settings: Settings) -> None:
+    front = started(settings, make_servers())
+    strange: list[Event] = [
+        Playing(777, 0, 5, 9.0),
+        Note(777, 0, 5, NoteKind.LINK, 0.5),
+        AttemptEnded(777, 0, 5, Outcome.RESET, True, 9.0, (0.5, 0.5)),
+        ViewerGone(777),
+    ]
+    assert front.handle(20000.0, strange) == [] and len(front.sessions) == 6
+
+
+def test_late_and_repeated_ends_leave_the_running_attempt_alone(settings: Settings) -> None:
+    front = started(settings, make_servers())
+    (first,) = of(front.handle(20000.0, [request(1)]), SetUp)
+    end = AttemptEnded(1, 0, first.server, Outcome.CONNECT_FAILED, False, 5.0)
+    (second,) = of(front.handle(20010.0, [end]), SetUp)
+    assert front.handle(20020.0, [end]) == []
+    box = front.sessions[1].box
+    assert box is not None and box.told.id == second.server
+    done = AttemptEnded(1, 1, second.server, Outcome.OK, True, 5.0)
+    assert front.handle(20030.0, [Playing(1, 1, second.server, 9.0), done, done]) == []
+
+
+def test_a_list_that_names_a_server_twice_holds_it_once(settings: Settings) -> None:
+    servers = make_servers(3)
+    front = started(settings, (*servers, *servers), handed=False)
+    assert len(front.boxes) == len(front.order) == 3
+    gone = replace(servers[0], state=ServerState.GONE)
+    front.handle(20000.0, [ServerList(ListKind.CHANGES, 3, (gone, gone))])
+    assert len(front.boxes) == len(front.order) == 2
+
+
+def test_method_two_runs_on_the_few_counts_of_one_front_of_a_hundred() -> None:
+    """Sessions held stand for arrivals: a front that sees few requests still picks reserves."""
+    settings = make_settings(fronts=100)
+    front = started(settings, make_servers(6), handed=False)
+    held: list[Event] = [HandedOver(request(n, cls=n % 2, title=n), 100 + n % 6) for n in range(8)]
+    front.handle(0.0, held)
+    for n in range(5):
+        front.handle(2000.0 + 3000 * n, [request(50 + n, cls=n % 2, title=50 + n)])
+    assert front.splits and any(sum(split) for split in front.splits.values())
+
+
+def test_premium_is_admitted_by_one_own_low_session_where_a_front_holds_few() -> None:
+    """Alpha low sessions of one front on one server are rare: one that frees enough will do."""
+    front = started(make_settings(fronts=100), make_servers(1), handed=False)
+    box = front.boxes[100]
+    front.handle(20000.0, [HandedOver(request(1, title=1), 100), Note(1, 0, 100, NoteKind.RUNG, 3.0)])
+    box.link.hear(20000.0, box.link.cap, 0.0)
+    actions = front.handle(20010.0, [request(50, cls=0, title=50)])
+    assert [a.id for a in of(actions, SetUp)] == [50]
+    assert front.sessions[1].rung < 3 and front.sessions[1].was_sub_rated
