--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -137,6 +137,7 @@
         old = self.unowned(now)
         self.base = next((own for at, own in self.past if at > now - lag), self.own)
         others = max(0.0, total - self.base)
+        weight = max(weight, others > old and self.told)  # a rise is believed at once: missing rates are dear
         if self.told:
             self.usual[3] = now
             off, jump = others / self.span - self.usual[0], abs(others - self.others) / self.span
