--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -137,7 +137,8 @@
         old = self.unowned(now)
         self.base = next((own for at, own in self.past if at > now - lag), self.own)
         others = max(0.0, total - self.base)
-        weight = max(weight, others > old and self.told)  # a rise is believed at once: missing rates are dear
+        if self.told and others > old + self.usual[2] * self.span:  # over the usual jump: believed at once
+            weight = 1.0
         if self.told:
             self.usual[3] = now
             off, jump = others / self.span - self.usual[0], abs(others - self.others) / self.span
@@ -159,8 +160,7 @@
         room = max(self.target * self.cap - asked, -9e99 if self.told else GUESS_ROOM * self.cap)
         return room if self.told or not self.own else min(room, asked * (self.limit / self.own - 1))
 
-    def doubt(self, now: float) -> float:
-        """What may be asked of it over the estimate: what it jumps by, and more with its age."""
+    def doubt(self, now: float) -> float:  # how far use may lie over it: what it jumps by, more with its age
         age = min(1.0, (now - self.heard_at) / FADE_MS)
         return (self.usual[2] + age * self.usual[1]) * self.span * self.told
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -577,3 +577,15 @@
     actions = front.handle(20010.0, [request(50, cls=0, title=50)])
     assert [a.id for a in of(actions, SetUp)] == [50]
     assert front.sessions[1].rung < 3 and front.sessions[1].was_sub_rated
+
+
+def test_a_rise_beyond_the_usual_jump_is_believed_at_once(settings: Settings) -> None:
+    """All links give less at once: smoothed reports would halve the first answer. Small rises are noise."""
+    front = started(settings, make_servers(1), handed=False)
+    link = front.boxes[100].link
+    for n in range(40):  # reports that wander by a tenth
+        link.hear(20000.0 + n * 2500, (0.5 + 0.1 * (n % 2)) * link.cap, 0.0)
+    link.hear(122000.0, 0.62 * link.cap, 0.0)
+    assert link.others < 0.61 * link.cap
+    link.hear(124500.0, 1.4 * link.cap, 0.0)
+    assert link.others == pytest.approx(1.4 * link.cap)
