--- a/lemonhall/cli/__init__.py
+++ b/lemonhall/cli/__init__.py
@@ -7,7 +7,7 @@
 
 import click
 
-from lemonhall.cli import logs
+from lemonhall import logs
 from lemonhall.problem import BadInput
 
 BAD_INPUT = 2
--- a/lemonhall/cli/capture.py
+++ b/lemonhall/cli/capture.py
@@ -15,8 +15,8 @@
 from lemonhall.capture.ring import rewritten
 from lemonhall.capture.story import Front, action_words, event_words, ident_of, story, timelines
 from lemonhall.config.settings import read_settings
-from lemonhall.front.capturing import write_new
-from lemonhall.front.daemon import load_module
+from lemonhall.front.keeping.capturing import write_new
+from lemonhall.front.process.daemon import load_module
 from lemonhall.problem import BadInput
 
 WAIT_S = 10.0
--- a/lemonhall/cli/hooks.py
+++ b/lemonhall/cli/hooks.py
@@ -11,7 +11,7 @@
 
 from lemonhall import interface as i
 from lemonhall.config.settings import read_settings
-from lemonhall.front.hooks import known_of
+from lemonhall.front.deciding.hooks import known_of
 from lemonhall.hooks import BadScript, Engine, EngineLimits, Known, Source, compile_script, format_script
 from lemonhall.hooks.advice import Session
 from lemonhall.hooks.machine import Nowhere
--- a/lemonhall/cli/serve.py
+++ b/lemonhall/cli/serve.py
@@ -5,20 +5,29 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import pickle
 import signal
+import socket
 import sys
 from pathlib import Path
+from typing import Any
 
 import click
 
 from lemonhall import decide
 from lemonhall.config.schema import SETTINGS
-from lemonhall.config.settings import make_settings, read_tree
-from lemonhall.front import guard
-from lemonhall.front.daemon import Daemon, load_module
-from lemonhall.front.supervise import supervise
+from lemonhall.config.settings import FrontSettings, make_settings, read_tree
+from lemonhall.front.guarding import guard
+from lemonhall.front.guarding.guard import GuardedDaemon
+from lemonhall.front.process.channel import Channel
+from lemonhall.front.process.daemon import Daemon, Taken, load_module
+from lemonhall.front.process.supervise import supervise
+from lemonhall.front.workers import changing
+from lemonhall.front.workers.lines import Lines
+from lemonhall.front.workers.parent import Parent, ignore_terminal, wait_for_go
+from lemonhall.loop import Loop
 from lemonhall.problem import BadInput
 
 CRASHED = 3
@@ -30,36 +39,136 @@
 @click.option("--check", is_flag=True, help="Read settings and hooks, say what is wrong, start nothing.")
 @click.option("--supervise", "kept", is_flag=True, help="Run it under a parent that starts it again.")
 @click.option("--replace", is_flag=True, help="Take over from the front that serves, with what plays there.")
+@click.option("--decide", "decides", default="", hidden=True, help="Of a parent: what its decider is given.")
 @click.option("--die-at", default="", hidden=True, help="For tests: end at a point of a change of guard.")
-def serve(settings: Path, module: str, check: bool, kept: bool, replace: bool, die_at: str) -> None:
+def serve(
+    settings: Path, module: str, check: bool, kept: bool, replace: bool, decides: str, die_at: str
+) -> None:
     """Serve viewers by SETTINGS until SIGTERM; standard output says where."""
+    if decides:
+        decide_for(settings, module, decides)
+        return
     typed = read_tree(settings, SETTINGS)[1]
-    daemon = Daemon(make_settings(typed), load_module(module) if module else decide.Front)
+    daemon = GuardedDaemon(make_settings(typed), load_module(module) if module else decide.Front)
     daemon.remember(str(settings), pickle.dumps(typed))
-    daemon.point = guard.die_at(die_at)
+    if not daemon.settings.workers:
+        daemon.point = guard.die_at(die_at)
     if check or kept or replace:
         daemon.hooks.load()
     if check:
         click.echo(f"{settings}: fine")
         return
     if kept:
-        form = click.get_current_context().find_root().params["log_format"]
-        words = ["--log-format", form, "serve", str(settings), *(["--replace"] if replace else [])]
+        words = ["--log-format", log_format(), "serve", str(settings), *(["--replace"] if replace else [])]
         sys.exit(supervise([*words, *(["--module", module] if module else [])]))
+    if daemon.settings.workers:
+        with_workers(daemon.settings, settings, module, replace, die_at)
+        return
     if replace:
         relieve(daemon, settings)
     else:
         opened(daemon, settings)
+    daemon.loop.on_signal(signal.SIGINT, daemon.stop)
+    say({"serving": daemon.host})
+    run(daemon)
+
+
+def log_format() -> str:
+    return str(click.get_current_context().find_root().params["log_format"])
+
+
+def with_workers(made: FrontSettings, settings: Path, module: str, replace: bool, die_at: str) -> None:
+    """This process is the parent."""
+    parent = Parent(settings, made, log_format(), module, Loop())
+    point = guard.die_at(die_at, changing.POINTS)
+    wrong: list[str] = []
+
+    def opened(anew: bool) -> None:
+        if anew:
+            listening(parent, settings)
+        parent.open()
+        if made.guard:
+            changing.Giving(parent, made.guard, point)
+
+    def refused(why: str) -> None:
+        wrong.append(why)
+        parent.exit_status = 2
+        parent.begin_end()
+
+    def relieve() -> None:
+        """Once one stands by, so that the place is empty for a moment only."""
+        parent.on_spare = lambda: None
+        try:
+            changing.Taking(parent, made.guard, opened, refused, point)
+        except OSError:
+            click.echo("no front serves there: starting as the first", err=True)
+            opened(True)
+
+    parent.on_serving = lambda: say({"serving": parent.host})
+    if replace:
+        if not made.guard:
+            raise BadInput(str(settings), '--replace needs a guard in the settings: front ... guard="FILE"')
+        parent.on_spare = relieve
+        parent.want_spare()
+    else:
+        opened(True)
+    status = parent.run()
+    if wrong:
+        raise BadInput(str(settings), wrong[0])
+    sys.exit(status)
+
+
+def listening(parent: Parent, settings: Path) -> None:
+    try:
+        parent.listen()
+    except OSError as error:
+        raise BadInput(str(settings), f"cannot listen: {error.strerror}") from error
+
+
+def say(what: dict[str, object]) -> None:
+    click.echo(json.dumps(what))
+    sys.stdout.flush()
+
+
+def decide_for(settings: Path, module: str, text: str) -> None:
+    """This process is the decider, or will be: its parent says when, and by which settings."""
+    ignore_terminal()
+    given = json.loads(text)
+    control = socket.socket(fileno=given["control"])
+    tree, sockets = wait_for_go(control)
+    typed = pickle.loads(tree) if tree else read_tree(settings, SETTINGS)[1]
+    daemon = GuardedDaemon(make_settings(typed), load_module(module) if module else decide.Front)
+    daemon.remember(str(settings), pickle.dumps(typed))
+
+    def heard(message: dict[str, Any], _: list[int]) -> None:
+        if "alive" in message:
+            channel.send(message)
+        if "leave" in message:
+            daemon.leave()
+
+    channel = Channel(daemon.loop, control, heard, daemon.leave)  # without its parent it goes
+    daemon.workers = Lines(daemon, sockets["seam"], given["family"], channel.send)
+    daemon.taken = Taken(viewers=sockets["viewers"], status=sockets.get("status"))
+
+    def keep(tree: bytes) -> None:
+        channel.send({"tree": base64.b64encode(tree).decode()})
+
+    daemon.on_tree = keep
+    opened(daemon, settings)
+    keep(daemon.tree)
+    channel.send({"open": True})
+    run(daemon)
+
+
+def run(daemon: Daemon) -> None:
+    """Signals, then the loop to its end."""
     for number, act in {
         signal.SIGTERM: daemon.stop,
-        signal.SIGINT: daemon.stop,
         signal.SIGUSR1: daemon.drain,
         signal.SIGHUP: daemon.reload,
     }.items():
         daemon.loop.on_signal(number, act)
-    click.echo(json.dumps({"serving": daemon.host}))
-    sys.stdout.flush()
-    daemon.hooks.on_load = lambda fine: click.echo(json.dumps({"hooks": fine}))
+    daemon.hooks.on_load = lambda fine: say({"hooks": fine})
     try:
         daemon.loop.run()
     except Exception as error:
--- a/lemonhall/config/day.py
+++ b/lemonhall/config/day.py
@@ -55,6 +55,7 @@
 class FrontSpec:
     name: str
     hall: int
+    workers: int = 0
 
 
 @dataclass(frozen=True)
@@ -124,7 +125,9 @@
         length_ms=day["length"],
         seed=day["seed"],
         fronts=tuple(
-            FrontSpec(name, terms.halls.index(f["hall"])) for f in top(typed, "front") for name in f.names
+            FrontSpec(name, terms.halls.index(f["hall"]), f["workers"])
+            for f in top(typed, "front")
+            for name in f.names
         ),
         boxes=make_boxes(fleet, terms),
         mixes=make_mixes(traffic, terms),
--- a/lemonhall/config/routing.py
+++ b/lemonhall/config/routing.py
@@ -19,6 +19,7 @@
 from urllib.parse import unquote_to_bytes
 
 import re2
+import xxhash
 
 CYCLES_MOST = 10
 SET_FROM = 8  # regular expressions of one prefix from which they are looked for together
@@ -411,3 +412,8 @@
     if made.endswith("?"):
         return made[:-1]
     return f"{made}{'&' if '?' in made else '?'}{query}" if query else made
+
+
+def title_of(path: str) -> int:
+    """64 bits for a title: its path without the query. Stable over machines and versions (XXH3)."""
+    return xxhash.xxh3_64_intdigest(path.partition("?")[0].encode())
--- a/lemonhall/config/rules.py
+++ b/lemonhall/config/rules.py
@@ -244,7 +244,8 @@
         fronts = [name for f in self.all("front") for name in f.names]
         partners = [p.name for p in self.all("partner")]
         targets = {"uplink": racks, "front-killed": fronts, "surge": partners, "list-lag": []}
-        targets["front-relieved"] = fronts
+        parts = [f"{who}-{what}" for who in ("decider", "worker") for what in ("killed", "stopped")]
+        targets |= dict.fromkeys(["front-relieved", *parts], fronts)
         for fault in self.all("fault"):
             if fault.name in ("hooks", "reload"):
                 folder = Path(fault.node.spot.file).resolve().parent
--- a/lemonhall/config/settings.py
+++ b/lemonhall/config/settings.py
@@ -158,6 +158,7 @@
     drain_to: str = ""  # host:port for viewers of a front that drains
     capture: CaptureSettings = CaptureSettings()
     guard: str = ""  # Unix socket at which a successor may ask to take over
+    workers: int = 0  # processes that carry sessions; 0: the one that decides does
 
     def to_module(self) -> i.Settings:
         """The settings of the decision module, milliseconds and kB a second as there."""
@@ -448,6 +449,7 @@
         drain_to=front["drain-to"],
         capture=make_capture(front.one("capture")),
         guard=beside(front, front["guard"]),
+        workers=front["workers"],
     )
 
 
@@ -466,6 +468,7 @@
     "crash_report",
     "claim_header",
     "drain_to",
+    "workers",
 )
 LIVE_TERMS = ("routes", "normal_paths")
 
@@ -480,4 +483,6 @@
         for f in fields(old.terms)
         if f.name not in LIVE_TERMS and getattr(old.terms, f.name) != getattr(new.terms, f.name)
     ]
+    if (old.workers == 0) != (new.workers == 0):
+        fixed.append("workers (to or from 0)")
     return [name.replace("_", " ") for name in fixed]
--- a/lemonhall/day/children.py
+++ b/lemonhall/day/children.py
@@ -65,3 +65,12 @@
     def signal(self, number: int) -> None:
         if self.alive:
             os.kill(self.process.pid, number)
+
+    def kin(self, word: str) -> list[int]:
+        """Numbers of its own children with `word` in their command line, in the order of their start."""
+        pid = self.process.pid
+        try:
+            children = Path(f"/proc/{pid}/task/{pid}/children").read_text().split()
+            return [int(c) for c in children if word in Path(f"/proc/{c}/cmdline").read_text()]
+        except OSError:  # gone meanwhile
+            return []
--- a/lemonhall/day/runner.py
+++ b/lemonhall/day/runner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import os
 import secrets
 import shutil
 import signal
@@ -24,6 +26,7 @@
 
 READY_S = 30.0  # for all processes to start
 OVER_S = 40.0  # behind the day's length, for its last viewers
+CARRIER = "lemonhall.front.workers.carrier"  # how a worker is called
 SEEN_S = 0.5  # after which whoever keeps the list has seen that a process is gone
 
 
@@ -184,7 +187,7 @@
 {self.hook_nodes()}
 front "{name}" index={index} fronts={len(fronts)} hall="{hall}" seed={self.seed * 100 + index} \\
         guard="{name}.guard" \\
-        listen="127.0.0.1:{self.ports[name]}" share-port=#true {{
+        workers={fronts[index].workers} listen="127.0.0.1:{self.ports[name]}" share-port=#true {{
     boxes "http://{self.list_at}/boxes" cache="{"" if self.keep_state else f"{self.folder / name}.cache"}"
     {f'store "{name}.store" size=(MB)16' if self.keep_state else ""}
     peers listen="127.0.0.1:{self.ports[name]}" {{
@@ -329,6 +332,35 @@
         self.children[front].signal(signal.SIGKILL)
         self.loop.call_later(after_s, self.start_front, front)
 
+    def kin_of(self, front: str, word: str) -> list[int]:
+        return self.children[front].kin(word) if front in self.serving else []
+
+    def on_decider_killed(self, fault: FaultSpec, front: str, after_s: float) -> None:
+        """The one that decides is older than the one that stands by."""
+        for pid in self.kin_of(front, "--decide")[:1]:
+            os.kill(pid, signal.SIGKILL)
+
+    def on_worker_killed(self, fault: FaultSpec, front: str, after_s: float) -> None:
+        for pid in self.kin_of(front, CARRIER)[:1]:
+            os.kill(pid, signal.SIGKILL)
+
+    def on_decider_stopped(self, fault: FaultSpec, front: str, after_s: float) -> None:
+        self.stop_for(self.kin_of(front, "--decide")[:1], after_s)
+
+    def on_worker_stopped(self, fault: FaultSpec, front: str, after_s: float) -> None:
+        self.stop_for(self.kin_of(front, CARRIER)[:1], after_s)
+
+    def stop_for(self, pids: list[int], after_s: float) -> None:
+        for pid in pids:
+            held = os.pidfd_open(pid)
+            signal.pidfd_send_signal(held, signal.SIGSTOP)
+            self.loop.call_later(after_s, self.wake, held)
+
+    def wake(self, held: int) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            signal.pidfd_send_signal(held, signal.SIGCONT)
+        os.close(held)
+
     def on_front_relieved(self, fault: FaultSpec, front: str, after_s: float) -> None:
         if front not in self.serving:
             return
--- /dev/null
+++ b/lemonhall/front/deciding/asks.py
@@ -0,0 +1,499 @@
+"""What is asked of this front, on the deciding side: the module's events made of what workers say, its
+actions given to them, and the ledger of paid claims between the two.
+
+An ask is what the module knows as a session. It is here from the worker's `Asked` to the end of its last
+attempt.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import asdict
+from functools import partial
+from random import Random
+from typing import Any, Protocol
+
+import structlog
+
+from lemonhall import interface as i
+from lemonhall.capture.story import advice_words
+from lemonhall.config.settings import FrontSettings
+from lemonhall.front.deciding.bridge import Bridge
+from lemonhall.front.deciding.claims import Claims
+from lemonhall.front.deciding.hooks import Hooks
+from lemonhall.front.deciding.pooling import Pools
+from lemonhall.front.keeping.keeper import Keeper
+from lemonhall.front.keeping.record import Recorder
+from lemonhall.hooks.advice import merge
+from lemonhall.interface import Outcome
+from lemonhall.loop import Loop
+from lemonhall.loop.stream import Address
+from lemonhall.seam import (
+    Asked,
+    Book,
+    Broken,
+    Cancel,
+    Carried,
+    Cleared,
+    Ended,
+    Failed,
+    Gone,
+    Lapsed,
+    Message,
+    Move,
+    Noted,
+    Over,
+    Playing,
+    Proof,
+    Reader,
+    Refused,
+    Rung,
+    SetUp,
+)
+from lemonhall.seam.book import Out
+from lemonhall.store import Begun, Hold, Token, Verdict
+
+log = structlog.get_logger("lemonhall.front")
+ASK_PART = 0.4  # of the time that is left: another front's word on a claim is waited for
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+LATE_S = 1.0  # behind the deadline: a worker that has said nothing by then does not run
+
+
+class Line(Protocol):
+    """To one worker. `number` is of the link: a worker that comes again has another."""
+
+    number: int
+
+    def send(self, message: Message) -> bool: ...
+
+
+class Ask:
+    def __init__(self, line: Line, said: Asked) -> None:
+        self.line, self.said, self.number, self.deadline = line, said, said.ask, said.deadline
+        self.rung = 0
+        self.attempts = 0
+        self.out: Out | None = None  # the attempt that is out, or plays
+        self.answered = False
+        self.advice = i.NO_ADVICE  # what the module was told of wishes for it
+        self.hold: Hold | None = None  # of a paid claim: the right to set it up
+        self.told: i.NewSession | None = None  # as the module was told of it
+        self.reason = ""  # given by a hook that wishes it refused
+        self.cls = said.cls  # as the module was told
+        self.moving = False
+        self.since = 0.0  # when it came to play
+
+
+def advice_of(packed: dict[str, Any]) -> i.Advice:
+    pairs = {n: tuple((str(a), int(b)) for a, b in packed[n]) for n in ("prefer", "avoid")}
+    return i.Advice(**{**packed, **pairs})
+
+
+def remembered(memo: bytes) -> tuple[int, i.Advice, str]:
+    """Of `Asks.memo`. Raises `ValueError`, `KeyError` or `TypeError`."""
+    cls, advice, reason = json.loads(memo)
+    return int(cls), advice_of(advice), str(reason)
+
+
+class Asks:
+    """`addresses` gives a server's address by its number, also of servers that have left the list."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        settings: FrontSettings,
+        bridge: Bridge,
+        random: Random,
+        addresses: Callable[[int], Address | None],
+        hooks: Hooks,
+        counts: Counter[str],
+    ) -> None:
+        self.loop, self.settings, self.bridge, self.counts = loop, settings, bridge, counts
+        self.addresses, self.hooks = addresses, hooks
+        self.open: dict[int, Ask] = {}
+        self.book = Book()
+        self.holds: dict[tuple[int, int], Hold] = {}  # of attempts that are out, by ask and attempt
+        self.on_took: Callable[[float], object] = lambda ms: None
+        self.recorder: Recorder | None = None
+        self.keeper: Keeper | None = None
+        self.claims = Claims(loop, None, None)
+        self.pools = Pools(settings, self.held_at, self.counts, Random(random.random()))
+        self.hear: dict[type[Message], Callable[[Line, Any], object]] = {
+            Asked: self.asked,
+            Playing: self.playing,
+            Ended: self.ended,
+            Noted: self.noted,
+            Gone: self.gone,
+            Lapsed: self.lapsed,
+            Over: self.over,
+            Carried: self.carried,
+        }
+        bridge.carry_out.update(
+            {
+                i.SetUp: self.set_up,
+                i.SetRung: self.set_rung,
+                i.Refuse: self.refuse,
+                i.Fail: self.fail,
+                i.Move: self.move,
+                i.Cancel: self.cancel,
+            }
+        )
+
+    def heard(self, line: Line, message: Message) -> bool:
+        """A worker's word. False: it is not about an ask."""
+        if act := self.hear.get(type(message)):
+            act(line, message)
+            return True
+        return False
+
+    def held_at(self) -> Counter[int]:
+        """Attempts that are out or play, by server."""
+        return Counter(out.server for out in self.book.out.values())
+
+    # what workers say
+
+    def asked(self, line: Line, said: Asked) -> None:
+        """The module is told now, or when a claim's own front has spoken. What is late has had its answer."""
+        now = self.loop.now()
+        if said.deadline <= now or not self.book.enter(line.number, said.ask):
+            self.counts["asked_late"] += 1
+            return
+        ask = self.open[said.ask] = Ask(line, said)
+        self.counts["asked"] += 1
+        if self.recorder and not said.moved:
+            self.recorder.asked(said, now * 1000)
+        claim = None if said.moved else Token.parse(said.claim)
+        if claim is None:
+            self.tell(ask, (said.deadline - now) * 1000, Verdict.RAN if said.ran else Verdict.GO)
+            return
+        if said.unsent_made and self.keeper:
+            self.keeper.unsent(claim, said.unsent_turn, said.unsent_made)
+        self.claims.begin(claim, ASK_PART * (said.deadline - now), partial(self.begun, ask))
+
+    def begun(self, ask: Ask, begun: Begun) -> None:
+        """Whether a claim may be set up here is known, or that nobody can say in time."""
+        if self.open.get(ask.number) is not ask:
+            return
+        ask.hold = begun.hold
+        verdict = Verdict.RAN if ask.said.ran else begun.verdict
+        self.counts[f"claim_{verdict.value}"] += verdict is not Verdict.GO
+        self.tell(ask, max(1.0, (ask.deadline - self.loop.now()) * 1000), verdict)
+
+    def tell(self, ask: Ask, left_ms: float, verdict: Verdict) -> None:
+        """Tells the module of a session asked for: once. A claim that nobody can speak for is wished away."""
+        said, capture = ask.said, self.bridge.capture
+        if capture:
+            capture.word(self.bridge.now_ms(), "viewer", f"session {said.session} {said.path}", ask.number)
+        ruling = self.hooks.ask("arrival", ask, said.moved)
+        ask.advice, ask.reason, ask.cls = ruling.advice, ruling.reason, ruling.cls
+        if capture and (ruling.advice != i.NO_ADVICE or ruling.cls != said.cls):
+            words = advice_words(ruling.advice)
+            if ruling.cls != said.cls:
+                words += f", counts as {self.settings.terms.class_names[ruling.cls]}"
+            capture.word(self.bridge.now_ms(), "hook", f"arrival: {words}", ask.number)
+        prefer = said.prefer + self.pools.wish(said.pool, said.key or said.viewer_name)
+        if prefer:  # the route's pool; what a hook says comes first
+            ask.advice = merge(i.Advice(prefer=prefer), ruling.advice)
+        if verdict is Verdict.UNKNOWN:
+            ask.advice = merge(ask.advice, i.Advice(refuse=True))
+        ask.told = self.new_session(ask, left_ms, verdict is Verdict.RAN)
+        self.bridge.tell(ask.told)
+
+    def new_session(self, ask: Ask, left_ms: float, ran: bool) -> i.NewSession:
+        said = ask.said
+        return i.NewSession(
+            id=ask.number,
+            cls=ask.cls,
+            viewer=said.viewer,
+            title=said.title,
+            left_ms=left_ms,
+            top=said.top,
+            first_cell=said.first_cell,
+            cells=said.cells,
+            tenant=said.tenant,
+            moved=said.moved,
+            again=said.moved or said.again,
+            advice=ask.advice,
+            maybe_ran=ran,
+        )
+
+    def playing(self, line: Line, word: Playing) -> None:
+        ask = self.mine(line, word.ask, word.attempt)
+        if ask is None or ask.answered:
+            return
+        ask.answered, ask.since = True, self.loop.now()
+        self.counts["played"] += 1
+        self.on_took(word.took_ms)
+        if self.keeper:
+            said = ask.said
+            self.keeper.playing(said.session, said.claim, said.path, said.cls, word.server)
+        self.bridge.tell(i.Playing(ask.number, word.attempt, word.server, word.took_ms))
+        for name, value in zip(self.settings.terms.report_fields, word.report, strict=False):
+            if kind := {"x0": i.NoteKind.LINK, "x1": i.NoteKind.UPLINK}.get(name):
+                self.note(ask.number, word.attempt, word.server, kind, value)  # as a note of now
+
+    def mine(self, line: Line, number: int, attempt: int) -> Ask | None:
+        """The ask of a line whose attempt this is."""
+        ask = self.open.get(number)
+        if ask is None or ask.line is not line or ask.out is None or ask.out.number != attempt:
+            return None
+        return ask
+
+    def noted(self, line: Line, word: Noted) -> None:
+        if self.mine(line, word.ask, word.attempt):
+            self.note(word.ask, word.attempt, word.server, word.note, word.value)
+
+    def note(self, ask: int, attempt: int, server: int, kind: int, value: float) -> None:
+        self.bridge.tell(i.Note(ask, attempt, server, kind, value))
+        if kind == i.NoteKind.LINK:
+            self.hooks.hear(server, value)
+
+    def gone(self, line: Line, word: Gone) -> None:
+        """The module is told now; of the end of an attempt that is out when it comes."""
+        ask = self.open.get(word.ask)
+        if ask is None or ask.line is not line:
+            return
+        self.counts["viewer_gone"] += not ask.answered
+        if ask.told:
+            self.bridge.tell(i.ViewerGone(ask.number))
+        if ask.out is None:
+            self.drop(ask)
+
+    def ended(self, line: Line, word: Ended) -> None:
+        out = self.book.ended(line.number, word.ask, word.attempt)
+        if out is None:
+            return
+        outcome = Outcome(word.outcome)
+        self.settle(out, word.left and outcome not in NEVER_RAN)
+        ask = self.open.get(word.ask)
+        if ask is None or ask.out is not out:
+            return
+        ask.out = None
+        self.counts[f"ended_{outcome.name.lower()}"] += 1
+        if outcome not in (Outcome.OK, Outcome.MOOT, Outcome.CANCELLED) and not word.gone:
+            self.broke(ask, outcome, word)
+        told = i.AttemptEnded(
+            ask.number, word.attempt, word.server, outcome, word.closed, word.took_ms, word.report
+        )
+        self.bridge.tell(told)
+        if word.closed:
+            self.drop(ask)
+
+    def settle(self, out: Out, ran: bool) -> None:
+        hold = self.holds.pop((out.ask, out.number), None)
+        if hold and self.keeper:
+            self.keeper.settle(hold, ran)
+
+    def broke(self, ask: Ask, outcome: Outcome, word: Ended) -> None:
+        """The hooks are heard of a break before the module is told of it."""
+        facts = {"outcome": outcome.name.lower(), "played": word.played_ms}
+        ruling = self.hooks.ask("break", ask, word.moving, **facts)
+        if not ask.answered:
+            self.advise(ask, ruling.advice)
+
+    def lapsed(self, line: Line, word: Lapsed) -> None:
+        """The worker has answered in our place: the module was silent, or this process did not run."""
+        ask = self.open.get(word.ask)
+        if ask is None or ask.line is not line:
+            return
+        self.counts["overdue"] += 1
+        log.error("no answer by the deadline", session=ask.said.session, ask=ask.number)
+        if ask.told:
+            self.bridge.tell(i.ViewerGone(ask.number))
+        self.drop(ask)
+
+    def over(self, line: Line, word: Over) -> None:
+        if self.recorder:
+            played = word.played_ms if word.played_ms >= 0 else None
+            self.recorder.over(word.session, played, word.vanished)
+        if word.played_ms >= 0 and self.keeper:
+            self.keeper.over(word.session)
+
+    def carried(self, line: Line, word: Carried) -> None:
+        """It plays, under a set-up of a decider that is gone, or of a front that this one relieves."""
+        said = Reader().feed(word.asked)[0]
+        if isinstance(said, Broken) or not isinstance(said, Asked):
+            self.counts["carried_unreadable"] += 1
+            return
+        said.ask = word.ask
+        if not self.book.enter(line.number, word.ask):
+            return
+        ask = self.open[word.ask] = Ask(line, said)
+        ask.answered, ask.rung, ask.attempts, ask.since = True, word.rung, 1, word.since
+        if word.memo:
+            ask.cls, ask.advice, ask.reason = remembered(word.memo)
+        ask.told = self.new_session(ask, max(1.0, (said.deadline - self.loop.now()) * 1000), False)
+        ask.out = self.book.set_up(word.ask, 0, word.server, True)
+        if self.keeper:
+            self.keeper.playing(said.session, said.claim, said.path, said.cls, word.server)
+            if word.made and (claim := Token.parse(said.claim)):
+                self.holds[word.ask, 0] = Hold(claim, word.turn, 0)
+        self.counts["carried"] += 1
+        self.bridge.tell(i.HandedOver(ask.told, word.server))
+        self.bridge.tell(i.Note(word.ask, 0, word.server, i.NoteKind.RUNG, float(word.rung)))
+
+    def lose(self, line: Line) -> None:
+        """A worker's link has ended: every end that it owes is told here, once."""
+        asks, ends = self.book.lost(line.number)
+        for out, proof in ends:
+            self.settle(out, proof is Proof.MAYBE)
+        told = {out.ask: out for out, _ in ends}
+        for number in asks:
+            ask = self.open.pop(number)
+            if ask.hold and self.keeper:
+                self.keeper.ledger.over(ask.hold)
+            if ask.answered and self.keeper:
+                self.keeper.over(ask.said.session)
+            if self.recorder:
+                played = (self.loop.now() - ask.since) * 1000 if ask.answered else None
+                self.recorder.over(ask.said.session, played, not ask.answered)
+            if ask.told:
+                self.bridge.tell(i.ViewerGone(number))
+            if ask.out and (last := told.get(number)):
+                ended = i.AttemptEnded(number, last.number, last.server, Outcome.CANCELLED, True, 0.0)
+                self.bridge.tell(ended)
+        if asks:
+            self.counts["lost_with_worker"] += len(asks)
+
+    def look_back(self) -> None:
+        """Asks of workers that do not run: at some time after the deadline nobody waits any more."""
+        until = self.loop.now() - LATE_S
+        for ask in [a for a in self.open.values() if not a.answered and a.deadline < until]:
+            self.counts["given_up_late"] += 1
+            if ask.told:
+                self.bridge.tell(i.ViewerGone(ask.number))
+                if ask.out:
+                    cancelled = (ask.number, ask.out.number, ask.out.server, Outcome.CANCELLED, True, 0.0)
+                    self.bridge.tell(i.AttemptEnded(*cancelled))
+            ask.out = None  # it stays in the book, for the ledger: its end may still come
+            self.drop(ask)
+
+    def drop(self, ask: Ask) -> None:
+        if self.keeper and ask.hold:
+            self.keeper.ledger.over(ask.hold)
+        self.book.drop(ask.number)
+        self.open.pop(ask.number, None)
+
+    def advise(self, ask: Ask, advice: i.Advice) -> None:
+        """Tells the module of other wishes for a session, if they are any."""
+        merged = merge(ask.advice, advice) if advice != i.NO_ADVICE else ask.advice
+        if merged != ask.advice:
+            ask.advice = merged
+            self.bridge.tell(i.Advised(ask.number, merged))
+
+    # what the module decides
+
+    def memo(self, ask: Ask) -> bytes:
+        """What another decider must know of it, if anything was wished."""
+        plain = ask.advice == i.NO_ADVICE and ask.cls == ask.said.cls and not ask.reason
+        return b"" if plain else json.dumps([ask.cls, asdict(ask.advice), ask.reason]).encode()
+
+    def set_up(self, action: i.SetUp) -> None:
+        ask = self.open.get(action.id)
+        if ask is None:
+            return
+        number = ask.attempts
+        ask.attempts += 1
+        left_s = ask.deadline - self.loop.now()
+        limit_s = min(left_s, action.timeout_ms / 1000) if action.timeout_ms > 0 else left_s
+        address = self.addresses(action.server)
+        moot = number >= self.settings.terms.max_attempts or left_s <= 0 or ask.out is not None
+        moot |= ask.answered or address is None
+        moot |= bool(ask.said.claim) and ask.hold is None  # nobody has said that it may be set up
+        record = None
+        if not moot and ask.hold and self.keeper:
+            cleared = partial(self.cleared, ask.number, number)
+            record = self.keeper.attempt(ask.hold, action.server, cleared)
+            moot = record is None  # passed on, or taken by a later ask, meanwhile
+        if not moot:
+            assert address is not None
+            message = SetUp(
+                ask.number,
+                number,
+                action.server,
+                ask.rung,
+                record.turn if record else 0,
+                record.attempts if record else 0,
+                self.rate(ask, ask.rung),
+                max(0.001, limit_s),
+                record is not None,
+                address if isinstance(address, str) else f"{address[0]}:{address[1]}",
+                self.memo(ask),
+            )
+            if ask.line.send(message):
+                self.counts["attempts"] += 1
+                ask.out = self.book.set_up(ask.number, number, action.server, record is None)
+                if ask.hold:
+                    self.holds[ask.number, number] = ask.hold
+                return
+            self.counts["seam_full"] += 1
+            if record and ask.hold and self.keeper:
+                self.keeper.settle(ask.hold, False)
+        self.counts["ended_moot"] += 1  # nothing is sent: too many, two at once, nowhere, or too late
+        self.bridge.tell(i.AttemptEnded(action.id, number, action.server, Outcome.MOOT, False, 0.0))
+
+    def cleared(self, ask: int, number: int, why: str) -> None:
+        """The ledger has it, or says why not: only now may the request leave."""
+        out = self.book.out.get((ask, number))
+        found = self.open.get(ask)
+        if out is None or found is None or found.out is not out:
+            return
+        if why or self.book.clear(ask, number):
+            found.line.send(Cleared(ask, number, why))
+
+    def rate(self, ask: Ask, rung: int) -> float:
+        """kB a second of a rung for the session's class."""
+        terms = self.settings.terms
+        return terms.ladder_kb[rung] * terms.classes[ask.said.cls].scale
+
+    def set_rung(self, action: i.SetRung) -> None:
+        ask = self.open.get(action.id)
+        if ask is None:
+            return
+        before, ask.rung = ask.rung, action.rung
+        if ask.out:
+            self.counts["rung_changes"] += 1
+            ask.line.send(Rung(ask.number, action.rung, self.rate(ask, action.rung)))
+            self.changed(ask, before)
+
+    def changed(self, ask: Ask, before: int) -> None:
+        """The hooks are heard of a change of rung; it stands, what they wish holds from the next on."""
+        if ask.answered and not ask.moving and self.hooks.engine.scripts:
+            played_ms = (self.loop.now() - ask.since) * 1000
+            rungs = {"rung": float(ask.rung), "before": float(before)}
+            self.advise(ask, self.hooks.ask("change", ask, False, played=played_ms, **rungs).advice)
+
+    def refuse(self, action: i.Refuse) -> None:
+        if ask := self.final(action.id, "refused"):
+            reason = ask.reason if ask.advice.refuse and not ask.attempts else ""
+            ask.line.send(Refused(action.id, action.pause_ms, reason))
+
+    def fail(self, action: i.Fail) -> None:
+        if ask := self.final(action.id, "failed"):
+            ask.line.send(Failed(action.id, 502))
+
+    def final(self, number: int, name: str) -> Ask | None:
+        """The module's last word; the end of an attempt that is still out is the ledger's alone."""
+        ask = self.open.get(number)
+        if ask is None or ask.answered:
+            return None
+        self.counts[name] += 1
+        self.hooks.refused.add(self.hooks.now_ms())
+        self.hooks.ask("refusal", ask, ask.said.moved, verdict=name)
+        self.drop(ask)
+        return ask
+
+    def move(self, action: i.Move) -> None:
+        """Off its server; its worker asks again shortly, as moved."""
+        ask = self.open.get(action.id)
+        if ask is None or not ask.answered or ask.moving:
+            return
+        self.counts["moved"] += 1
+        ask.moving = True
+        ask.line.send(Move(action.id))
+
+    def cancel(self, action: i.Cancel) -> None:
+        ask = self.open.get(action.id)
+        if ask and not ask.answered and ask.out and ask.out.number == action.attempt:
+            ask.line.send(Cancel(action.id, action.attempt))
--- a/lemonhall/front/claims.py
+++ b/lemonhall/front/deciding/claims.py
@@ -9,7 +9,7 @@
 from functools import partial
 from typing import Any, Protocol
 
-from lemonhall.front.keeper import Keeper
+from lemonhall.front.keeping.keeper import Keeper
 from lemonhall.loop import Loop, Timer
 from lemonhall.members.members_pb2 import ASK_CLAIM, CLAIM, Message
 from lemonhall.store import Answer, Begun, Standing, Token, Verdict
--- a/lemonhall/front/hooks.py
+++ b/lemonhall/front/deciding/hooks.py
@@ -10,22 +10,19 @@
 import json
 from collections.abc import Callable
 from dataclasses import asdict
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import structlog
 
 from lemonhall import interface as i
 from lemonhall.config.settings import FrontSettings
-from lemonhall.front.builder import Builder
 from lemonhall.hooks import BadScript, Engine, EngineLimits, Known, Problem, Source
 from lemonhall.hooks.advice import Ruling, Session
 from lemonhall.hooks.code import Program
 from lemonhall.hooks.vocabulary import FACTS
 from lemonhall.hooks.windows import Lately
 from lemonhall.problem import BadInput
-
-if TYPE_CHECKING:
-    from lemonhall.front.session import Session as ViewerSession
+from lemonhall.seam import Asked
 
 log = structlog.get_logger("lemonhall.front")
 HEARD_MS = 30_000.0  # a report of a link's use is believed for so long
@@ -63,6 +60,19 @@
     return sources
 
 
+class Builder(Protocol):
+    """Whoever reads and compiles elsewhere. `ask` raises `OSError` if nobody can."""
+
+    def ask(self, job: tuple[Any, ...], done: Callable[[Any], None]) -> None: ...
+
+
+class Subject(Protocol):
+    """What a ruling is about."""
+
+    said: Asked
+    attempts: int
+
+
 class Hooks:
     """`servers` gives the box list; `now_ms` does not go back, `wall_ms` is Unix time and may."""
 
@@ -176,9 +186,9 @@
 
     # asking; the machine's host is a part of this one
 
-    def ask(self, point: str, session: ViewerSession, moved: bool, **more: Any) -> Ruling:
+    def ask(self, point: str, subject: Subject, moved: bool, **more: Any) -> Ruling:
         """What the scripts say of a session at a point. `more`: facts that are known only there."""
-        asked = session.asked
+        asked = subject.said
         if not self.engine.scripts:
             return Ruling(asked.cls)
         terms = self.settings.terms
@@ -189,17 +199,17 @@
         facts = {
             "class": terms.class_names[asked.cls],
             "partner": terms.tenant_names[asked.tenant] if terms.tenant_names else "",
-            "title": session.path.partition("?")[0],
+            "title": asked.path.partition("?")[0],
             "route": asked.route,
             "hall": terms.halls[self.settings.hall],
-            "viewer": session.viewer_name,
+            "viewer": asked.viewer_name,
             "paid": cls.repeat is not i.Repeat.SAFE,
-            "again": session.again,
+            "again": asked.again,
             "moved": moved,
-            "rung": float(session.top),
+            "rung": float(asked.top),
             "floor": float(cls.floor),
             "sessions": float(self.sessions()),
-            "attempt": float(session.ask.attempts if session.ask else 0),
+            "attempt": float(subject.attempts),
             **more,
         }
         ruling = self.engine.ask(
@@ -209,10 +219,10 @@
             Sight(self),
             self.now_ms(),
             self.wall_ms(),
-            session.id,
+            asked.session,
         )
         if ruling.log:
-            log.info("session", session=session.id, point=point, **{"class": facts["class"]}, **ruling.log)
+            log.info("session", session=asked.session, point=point, **{"class": facts["class"]}, **ruling.log)
         if self.engine.events:
             for event in self.engine.events:
                 log.warning(event.what, **event.fields)
--- a/lemonhall/front/guard.py
+++ b/lemonhall/front/guarding/guard.py
@@ -11,26 +11,24 @@
 import contextlib
 import os
 import socket
-from collections.abc import Callable
-from dataclasses import dataclass, fields
+from collections.abc import Callable, Sequence
+from dataclasses import fields
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import structlog
 
 from lemonhall.boxlist import Update
-from lemonhall.config.settings import LIVE_TERMS
-from lemonhall.front import handover
-from lemonhall.front.channel import Baton, Channel
-from lemonhall.front.keeper import to_learned, to_memory
-from lemonhall.front.relief import Do, Effect, Giver, Taker
-from lemonhall.front.viewer import ViewerConnection
+from lemonhall.config.settings import LIVE_TERMS, FrontSettings
+from lemonhall.front.guarding import handover
+from lemonhall.front.guarding.relief import Do, Effect, Giver, Taker
+from lemonhall.front.keeping.keeper import to_learned, to_memory
+from lemonhall.front.process.channel import Baton, Channel
+from lemonhall.front.process.daemon import Daemon, Taken
+from lemonhall.front.viewers.viewer import ViewerConnection
 from lemonhall.loop import Loop, Timer, listen
 from lemonhall.store.store_pb2 import Learned
 
-if TYPE_CHECKING:
-    from lemonhall.front.daemon import Daemon
-
 log = structlog.get_logger("lemonhall.front")
 VERSION = 1
 PATIENCE_S = 3.0  # a successor that is silent for so long has its portion taken back
@@ -55,12 +53,11 @@
 )
 
 
-def about(daemon: Daemon) -> dict[str, Any]:
+def about(s: FrontSettings) -> dict[str, Any]:
     """What must be the same at both, field by field: who the front is, and the terms of its service."""
-    s = daemon.settings
     own = {name: repr(getattr(s, name)) for name in ("name", "index", "hall", "listen", "store")}
     terms = {f.name: repr(getattr(s.terms, f.name)) for f in fields(s.terms) if f.name not in LIVE_TERMS}
-    return {"version": VERSION, **own, **terms}
+    return {"version": VERSION, "workers": s.workers > 0, **own, **terms}
 
 
 def differences(ours: dict[str, Any], theirs: dict[str, Any]) -> list[str]:
@@ -68,20 +65,6 @@
     return [name.replace("_", " ") for name in names if ours.get(name) != theirs.get(name)]
 
 
-@dataclass
-class Taken:
-    """What a successor gets with the front itself."""
-
-    viewers: socket.socket | None = None
-    status: socket.socket | None = None
-    peers: socket.socket | None = None
-    members: socket.socket | None = None
-    lock: int | None = None
-    message: dict[str, Any] | None = None
-
-    SOCKETS = ("viewers", "status", "peers", "members")
-
-
 class Guard:
     """At the front that serves: waits for a successor at `path`, and hands over when one asks."""
 
@@ -120,7 +103,7 @@
             os.close(fd)
         if "hello" in message:
             self.point("hello")
-            other = differences(about(self.daemon), message["hello"])
+            other = differences(about(self.daemon.settings), message["hello"])
             if other:
                 log.warning("successor refused", other=other)
                 assert self.channel
@@ -214,12 +197,12 @@
         if self.giver.lost or self.channel is None:
             return
         d = self.daemon
-        if not d.viewers and not d.sessions.asks:
+        if not d.worker.viewers and not d.worker.asks:
             self.carry_out(self.giver.nothing_left())
             return
         ready: list[ViewerConnection] = []
         fds = 0
-        for viewer in d.viewers:
+        for viewer in d.worker.viewers:
             if handover.quiet(viewer):
                 fds += len(handover.streams(viewer))
                 if ready and (fds > FDS or len(ready) >= CONNECTIONS):
@@ -236,13 +219,14 @@
         d = self.daemon
         for viewer in self.frozen:
             handover.freeze(d, viewer)
+        d.up.deliver()
         d.bridge.flush()  # what was told before of them is settled before they are written down
         self.baton = Baton()
         fds = [self.baton.fd]
         for viewer in self.frozen:
             fds += [s.sock.fileno() for s in handover.streams(viewer)]
         assert self.channel
-        self.channel.send({"portion": n, "viewers": [handover.pack(v) for v in self.frozen]}, fds)
+        self.channel.send({"portion": n, "viewers": [handover.pack(d, v) for v in self.frozen]}, fds)
         self.point("sent")
 
     def resume(self) -> None:
@@ -253,7 +237,7 @@
     def forget(self, n: int) -> None:
         if n == 0:
             self.point("front-given")
-            log.info("relieved", viewers=len(self.daemon.viewers))
+            log.info("relieved", viewers=len(self.daemon.worker.viewers))
             return
         frozen, self.frozen = self.frozen, []
         for viewer in frozen:
@@ -279,6 +263,14 @@
             self.channel = None
 
 
+class GuardedDaemon(Daemon):
+    """A front that may be relieved."""
+
+    def open_guard(self) -> None:
+        if self.settings.guard:
+            self.guard = Guard(self, self.settings.guard, self.point)
+
+
 class Successor:
     """At the front that comes. `opened` is called once it serves, `refused(why)` if it is not wanted."""
 
@@ -305,7 +297,7 @@
             sock.close()
             raise
         self.channel = Channel(self.loop, sock, self.heard, self.ended)
-        self.channel.send({"hello": about(daemon)})
+        self.channel.send({"hello": about(daemon.settings)})
 
     def heard(self, message: dict[str, Any], fds: list[int]) -> None:
         if "refused" in message:
@@ -389,9 +381,9 @@
             d.bridge.tell(to_memory(learned))
 
 
-def die_at(name: str) -> Callable[[str], object]:
+def die_at(name: str, points: Sequence[str] = POINTS) -> Callable[[str], object]:
     """For tests: a process that is gone at a named point, as if killed there. Raises `ValueError`."""
-    if name and name not in POINTS:
+    if name and name not in points:
         raise ValueError(f"no point {name!r} of a change of guard")
 
     def point(reached: str) -> None:
--- a/lemonhall/front/keeper.py
+++ b/lemonhall/front/keeping/keeper.py
@@ -132,6 +132,7 @@
         self.writer = Writer(loop, self.store)
         self.counts = Counter[str]()
         self.failing = ""
+        self.on_turn: Callable[[bool], object] = lambda failing: None  # of writing
         self.prune_timer: Timer | None = None
         self.memory_timer: Timer | None = None
 
@@ -177,21 +178,27 @@
         before = None if write.before is None else wrap(key, to_claim(write.before))
         self.writer.put(("claims", key, wrap(key, to_claim(write.record)), before), written, soon)
 
-    def attempt(self, hold: Hold, server: int, then: Callable[[str], object]) -> bool:
-        """Writes that an attempt may leave, and says when it may. False: it may not, nothing is written."""
+    def attempt(self, hold: Hold, server: int, then: Callable[[str], object]) -> Record | None:
+        """Writes that an attempt may leave, and says when it may. None: it may not, nothing is written."""
         write = self.ledger.attempt(hold, server, self.wall())
         if write is None:
             self.counts["attempts_stopped"] += 1
-            return False
+            return None
         self.counts["attempts"] += 1
         self.write(write, then)
-        return True
+        return write.record
 
     def settle(self, hold: Hold, ran: bool) -> None:
         if write := self.ledger.settle(hold, ran, self.wall()):
             self.counts["settled_ran" if ran else "settled_free"] += 1
             self.write(write, soon=False)
 
+    def unsent(self, token: Token, turn: int, made: int) -> None:
+        """An attempt that was written by an earlier decider provably never left."""
+        if write := self.ledger.unsent(token, turn, made, self.wall()):
+            self.counts["settled_unsent"] += 1
+            self.write(write, soon=False)
+
     def told(self, why: str) -> None:
         """How a write went. While they fail no paid session is taken; small tries go on meanwhile."""
         if why == OTHERWISE:
@@ -203,7 +210,9 @@
         elif self.failing and not why:
             log.warning("store can be written again")
         self.counts["failed_writes"] += bool(why)
-        self.failing = why
+        was, self.failing = self.failing, why
+        if bool(was) != bool(why):
+            self.on_turn(bool(why))
 
     def try_again(self) -> None:
         if self.failing and self.writer.woken.fileno() >= 0:
--- a/lemonhall/front/record.py
+++ b/lemonhall/front/keeping/record.py
@@ -7,14 +7,12 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import structlog
 
 from lemonhall.config.settings import FrontSettings
-
-if TYPE_CHECKING:
-    from lemonhall.front.session import Session
+from lemonhall.seam import Asked
 
 log = structlog.get_logger("lemonhall.front")
 GROUP = 2000  # rows that are written together
@@ -32,26 +30,26 @@
         self.rows: list[dict[str, Any]] = []
         self.groups = 0
 
-    def asked(self, session: Session, now_ms: float) -> None:
+    def asked(self, said: Asked, now_ms: float) -> None:
         """The first ask of a session; moves are not the viewer's."""
-        terms, asked = self.settings.terms, session.asked
-        if session.id in self.open:
+        terms = self.settings.terms
+        if said.session in self.open:
             return
-        self.open[session.id] = {
-            "person": session.viewer_id >> 1,
+        self.open[said.session] = {
+            "person": said.viewer >> 1,
             "at_ms": now_ms - self.began_ms,
-            "class": terms.class_names[asked.cls],
-            "partner": terms.tenant_names[asked.tenant] if terms.tenant_names else "",
-            "title": session.path.partition("?")[0],
+            "class": terms.class_names[said.cls],
+            "partner": terms.tenant_names[said.tenant] if terms.tenant_names else "",
+            "title": said.path.partition("?")[0],
             "hall": terms.halls[self.settings.hall],
             "length_ms": None,
-            "top": session.top,
+            "top": said.top,
             "vanishes": False,
         }
 
-    def over(self, session: Session, played_ms: float | None, vanished: bool) -> None:
+    def over(self, session: str, played_ms: float | None, vanished: bool) -> None:
         """`played_ms`: None if it never played."""
-        row = self.open.pop(session.id, None)
+        row = self.open.pop(session, None)
         if row is None:
             return
         row["length_ms"], row["vanishes"] = played_ms, vanished
--- a/lemonhall/front/builder.py
+++ b/lemonhall/front/process/builder.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from lemonhall.front.worker import LENGTH
+from lemonhall.front.process.reader import LENGTH
 from lemonhall.loop import Handler, Loop, Stream, Timer
 
 BUILD_S = 60.0  # after which a job is given up
@@ -49,7 +49,7 @@
         ours, theirs = socket.socketpair()
         with theirs:
             child = self.child = subprocess.Popen(
-                [sys.executable, "-m", "lemonhall.front.worker"],
+                [sys.executable, "-m", "lemonhall.front.process.reader"],
                 stdin=theirs.fileno(),
                 stdout=theirs.fileno(),
                 stderr=subprocess.DEVNULL,
--- a/lemonhall/front/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -1,4 +1,6 @@
-"""The front as a daemon: all wired to one loop, started, and stopped so that what was taken is answered."""
+"""The front as a daemon: the deciding side wired to one loop, started, and stopped so that what was taken is
+answered. Without workers in processes of their own viewers and servers are on the same loop, behind the same
+seam."""
 
 from __future__ import annotations
 
@@ -9,9 +11,10 @@
 import traceback
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random, SystemRandom
-from typing import Any
+from typing import Any, Protocol
 
 import prometheus_client as prom
 import structlog
@@ -20,21 +23,21 @@
 from lemonhall import decide
 from lemonhall import interface as i
 from lemonhall.config.settings import FrontSettings, StoreSettings, fixed_changes
-from lemonhall.front import routes, status
-from lemonhall.front.bridge import Bridge, Decider
-from lemonhall.front.builder import Builder
-from lemonhall.front.capturing import Capturer, header_of
-from lemonhall.front.catalogue import Call, Catalogue
-from lemonhall.front.claims import Claims
-from lemonhall.front.guard import Guard, Taken
-from lemonhall.front.hooks import Hooks
-from lemonhall.front.keeper import Keeper
-from lemonhall.front.listclient import ListClient
-from lemonhall.front.membership import Membership, read_keys
-from lemonhall.front.peers import Peers
-from lemonhall.front.record import Recorder
-from lemonhall.front.sessions import Sessions
-from lemonhall.front.viewer import ViewerConnection
+from lemonhall.front.deciding.asks import Asks
+from lemonhall.front.deciding.bridge import Bridge, Decider
+from lemonhall.front.deciding.claims import Claims
+from lemonhall.front.deciding.hooks import Hooks
+from lemonhall.front.deciding.listclient import ListClient
+from lemonhall.front.deciding.membership import Membership, read_keys
+from lemonhall.front.deciding.peers import Peers
+from lemonhall.front.keeping.capturing import Capturer, header_of
+from lemonhall.front.keeping.keeper import Keeper
+from lemonhall.front.keeping.record import Recorder
+from lemonhall.front.process import status
+from lemonhall.front.process.builder import Builder
+from lemonhall.front.process.local import Queue
+from lemonhall.front.servers.catalogue import Call
+from lemonhall.front.viewers.worker import STOP_S, Worker
 from lemonhall.interface import Outcome
 from lemonhall.loop import Loop, listen
 from lemonhall.loop.core import READ
@@ -42,12 +45,10 @@
 from lemonhall.members import Config
 from lemonhall.members.machine import View
 from lemonhall.problem import BadInput
-from lemonhall.rtsp.messages import make_response
+from lemonhall.seam import VERSION, Message, Redirect, Retire, Stored, Welcome
 
 log = structlog.get_logger("lemonhall.front")
-STOP_S = 10.0  # a clean stop takes no longer
-MEMORY_EVERY_S = 0.5
-STATM, PAGE_BYTES = Path("/proc/self/statm"), 4096
+LOOK_BACK_S = 0.5
 
 
 def load_module(path: str) -> Callable[[i.Settings, int], Decider]:
@@ -63,7 +64,38 @@
     return made
 
 
+class Closing(Protocol):
+    def close(self) -> None: ...
+
+
+class Workers(Protocol):
+    """Workers in processes of their own, as the daemon sees them."""
+
+    def send_all(self, message: Message) -> None: ...
+    def settle(self, settings: FrontSettings) -> None: ...
+    def left(self) -> int: ...
+    def opened(self) -> None: ...
+    def gauges(self) -> tuple[int, int]: ...
+    def close(self) -> None: ...
+
+
+@dataclass
+class Taken:
+    """Sockets that were open before this process: of the front that it relieves, or of its parent."""
+
+    viewers: socket.socket | None = None
+    status: socket.socket | None = None
+    peers: socket.socket | None = None
+    members: socket.socket | None = None
+    lock: int | None = None
+    message: dict[str, Any] | None = None
+
+    SOCKETS = ("viewers", "status", "peers", "members")
+
+
 class Daemon:
+    """`viewers` of `open`'s world are this process's own where `workers` is None, else the workers'."""
+
     def __init__(
         self,
         settings: FrontSettings,
@@ -88,37 +120,43 @@
             self.builder,
             settings,
             self.list.list.servers,
-            lambda: len(self.sessions.by_id),
+            lambda: self.gauges()[1],
             self.now_ms,
             lambda: self.wall() * 1000,
         )
-        self.sessions = Sessions(
+        self.counts = Counter[str]()
+        self.asks = Asks(
             self.loop,
             settings,
             self.bridge,
             Random(random.random()),
             self.list.list.addresses.get,
             self.hooks,
+            self.counts,
         )
-        self.catalogue = Catalogue(
+        self.workers: Workers | None = None
+        self.worker = Worker(
             self.loop,
-            self.list.list.servers,
-            self.list.list.addresses.get,
-            self.now_ms,
-            settings.terms.warm_ms,
+            settings,
+            0,
+            self.list.list,
             Random(random.random()),
+            self.now_ms,
+            wall,
+            self.counts,
         )
-        self.router = routes.table(settings.terms)
-        pools, listed = self.sessions.pools, self.list.list
+        self.up, self.down = Queue(self.loop, 1), Queue(self.loop, 1)
+        self.up.heard = lambda message: self.asks.heard(self.down, message)
+        self.down.heard = self.worker.heard
+        pools, listed = self.asks.pools, self.list.list
         pools.version, pools.servers = lambda: listed.version, listed.by_address
         self.path, self.tree = "", b""
-        self.viewers: set[ViewerConnection] = set()
-        self.counts = self.sessions.counts
-        self.stopping = self.draining = self.over_memory = False
+        self.on_tree: Callable[[bytes], object] = lambda tree: None  # told of settings that hold from now on
+        self.stopping = self.draining = False
         self.peers: Peers | None = None
         self.membership: Membership | None = None
         self.keeper: Keeper | None = None
-        self.guard: Guard | None = None
+        self.guard: Closing | None = None
         self.taken: Taken | None = None  # from the front that this one relieves
         self.point: Callable[[str], object] = lambda name: None
         self.listeners: list[socket.socket] = []
@@ -130,7 +168,7 @@
             registry=self.registry,
             buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5),
         )
-        self.sessions.on_took = lambda ms: self.took.observe(ms / 1000)
+        self.asks.on_took = lambda ms: self.took.observe(ms / 1000)
         self.registry.register(self)
         self.capture: Capturer | None = None
         self.bridge.carry_out.update(
@@ -172,9 +210,12 @@
             self.keep_settings([f"{name} cannot change while the front runs" for name in fixed])
             return
         self.tree = tree
-        self.settings = self.sessions.settings = new
-        self.router = routes.table(new.terms)
-        self.sessions.pools.settle()
+        self.on_tree(tree)
+        self.settings = self.asks.settings = new
+        self.asks.pools.settle(new)
+        self.worker.settle(new, 1)
+        if self.workers:
+            self.workers.settle(new)
         self.counts["settings_loaded"] += 1
         for change in changes:
             log.info("settings changed", what=change.what, danger=change.danger, place=change.place)
@@ -208,14 +249,15 @@
         if s.store and self.keeper is None:
             self.open_store(s.store)
         self.hooks.start()
-        if taken.viewers:
-            viewers = taken.viewers
-            accept_on(self.loop, viewers, self.accept)
+        if taken.viewers is None:
+            viewers = listen(self.loop, s.listen, self.worker.accept, share=s.share_port)
         else:
-            viewers = listen(self.loop, s.listen, self.accept, share=s.share_port)
+            viewers = taken.viewers
+            if self.workers is None:
+                accept_on(self.loop, viewers, self.worker.accept)
         self.listeners.append(viewers)
         at = viewers.getsockname()
-        self.host = at if isinstance(at, str) else f"{at[0]}:{at[1]}"
+        self.host = self.worker.host = at if isinstance(at, str) else f"{at[0]}:{at[1]}"
         if s.status:
             pages: dict[str, status.Page] = {
                 "/health": lambda: (200, "text/plain", b"ok\n"),
@@ -242,26 +284,58 @@
                 taken.members,
                 tuple(taken.message["fleet"]) if taken.message and taken.message["fleet"] else None,
             )
-        self.sessions.claims = Claims(self.loop, self.keeper, self.membership)
+        self.asks.claims = Claims(self.loop, self.keeper, self.membership)
         if self.membership:
-            self.membership.on_claim = self.sessions.claims.heard
+            self.membership.on_claim = self.asks.claims.heard
             self.membership.on_view = self.seen
         if s.record:
-            self.sessions.recorder = Recorder(Path(s.record), s, self.loop.now() * 1000)
-        if self.taken is None:
+            self.asks.recorder = Recorder(Path(s.record), s, self.loop.now() * 1000)
+        anew = taken.message is None
+        if anew:
             self.list.load_cache()
         if self.keeper:
-            self.recall(self.keeper, self.taken is None)
-        if s.guard:
-            self.guard = Guard(self, s.guard, self.point)
+            self.recall(self.keeper, anew)
+        self.open_guard()
         if s.list_url:
             self.list.start()
+        if self.workers:
+            self.workers.opened()
+        else:
+            self.worker.linked(self.up, self.welcome())
         self.bridge.call()
         if s.limits.memory:
-            self.watch_memory()
+            self.worker.watch_memory()
+        self.look_back()
         log.info("serving", at=self.host, front=s.name, index=s.index, fronts=s.fronts)
         return (at, 0) if isinstance(at, str) else (at[0], at[1])
 
+    def open_guard(self) -> None:
+        """Where a front can be relieved, its class says how."""
+
+    def welcome(self, version: int = VERSION, mine: bool = True) -> Welcome:
+        """What a worker must know to begin with."""
+        ledger = self.keeper.ledger if self.keeper else None
+        store, pruned_s = (ledger.store, ledger.pruned_s) if ledger else (0, 0)
+        return Welcome(version, self.settings.index, store, pruned_s, mine)
+
+    def send_all(self, message: Message) -> None:
+        if self.workers:
+            self.workers.send_all(message)
+        else:
+            self.down.send(message)
+
+    def look_back(self) -> None:
+        self.asks.look_back()
+        self.loop.call_later(LOOK_BACK_S, self.look_back)
+
+    def store_turned(self, failing: bool) -> None:
+        assert self.keeper
+        self.send_all(Stored(self.keeper.ledger.pruned_s, failing))
+
+    def gauges(self) -> tuple[int, int]:
+        """Viewers and sessions, of all workers."""
+        return self.workers.gauges() if self.workers else (len(self.worker.viewers), len(self.worker.by_id))
+
     def open_status(
         self, accept: Callable[[socket.socket, Any], object], taken: socket.socket | None
     ) -> None:
@@ -285,14 +359,14 @@
     def pause_front(self) -> None:
         """While it is not clear which process is this front: nobody is taken, no other front is spoken to."""
         for sock in self.listeners:
-            self.loop.watch(sock, 0, self.accept)
+            self.loop.watch(sock, 0, self.worker.accept)
         if self.membership:
             self.membership.pause()
         if self.peers:
             self.loop.watch(self.peers.sock, 0, self.peers.on_ready)
 
     def resume_front(self) -> None:
-        accept_on(self.loop, self.listeners[0], self.accept)
+        accept_on(self.loop, self.listeners[0], self.worker.accept)
         if len(self.listeners) > 1:
             accept_on(self.loop, self.listeners[1], self.serve_status)
         if self.membership:
@@ -308,8 +382,8 @@
             self.list.stream.abort()
         self.list.stop()
         self.builder.stop()
-        if self.sessions.recorder:
-            self.sessions.recorder.stop()
+        if self.asks.recorder:
+            self.asks.recorder.stop()
         if self.membership:
             self.membership.close()
         if self.peers:
@@ -327,7 +401,8 @@
     def open_store(self, settings: StoreSettings, lock: int | None = None) -> None:
         random = Random(SystemRandom().getrandbits(64))  # tokens must not come twice, whatever the seed
         self.keeper = Keeper(self.loop, settings, self.settings.index, random, self.memory, self.wall, lock)
-        self.list.keeper = self.sessions.keeper = self.keeper
+        self.list.keeper = self.asks.keeper = self.keeper
+        self.keeper.on_turn = self.store_turned
 
     def memory(self) -> i.Memory | None:
         """What the module has learned; another file's module may not say."""
@@ -348,58 +423,26 @@
             log.info("kept state read", sessions_lost=lost, learned_s_ago=age_s)
         keeper.start()
 
-    def accept(self, sock: socket.socket, peer: Any) -> None:
-        if self.stopping or self.over_memory or len(self.viewers) >= self.settings.limits.connections:
-            self.counts["connections_refused"] += 1
-            try:
-                sock.setblocking(False)
-                sock.send(make_response(503, "", ("Retry-After", "2")).encode())
-            except OSError:
-                pass
-            sock.close()
-            return
-        self.counts["connections"] += 1
-        self.viewers.add(ViewerConnection(self, sock, peer))
-
-    def no_more(self) -> str:
-        """Why no session is taken now, as its counter is called; "" if one is."""
-        if self.stopping or self.draining:
-            return "refused_stopping"
-        if self.over_memory:
-            return "refused_memory"
-        return "over_limit" if len(self.sessions.by_id) >= self.settings.limits.sessions else ""
-
-    def watch_memory(self) -> None:
-        """Over the limit nothing new is taken until a tenth of it is free again; what plays goes on."""
-        resident = int(STATM.read_text().split()[1]) * PAGE_BYTES
-        most = self.settings.limits.memory
-        was, self.over_memory = self.over_memory, resident > (0.9 * most if self.over_memory else most)
-        if was != self.over_memory:
-            log.warning("memory", over=self.over_memory, resident=resident, limit=most)
-        self.loop.call_later(MEMORY_EVERY_S, self.watch_memory)
-
-    def viewer_closed(self, viewer: ViewerConnection) -> None:
-        self.viewers.discard(viewer)
-
     def drain(self) -> None:
         """Takes nothing new; what plays comes to its end, for as long as the settings allow. Then stops."""
         if self.draining or self.stopping:
             return
-        self.draining = True
-        log.info("draining", sessions=len(self.sessions.by_id))
+        self.draining = self.worker.draining = True
+        log.info("draining", sessions=self.gauges()[1])
         if self.membership:
             self.membership.say_leaving()
         if self.settings.drain_to:
-            for viewer in list(self.viewers):
-                viewer.redirect(self.settings.drain_to)
+            self.send_all(Redirect(self.settings.drain_to))
+        if self.workers:
+            self.workers.send_all(Retire(False))
         for sock in self.listeners[:1]:
-            self.loop.watch(sock, 0, self.accept)
+            self.loop.watch(sock, 0, self.worker.accept)
             sock.close()
         self.loop.call_later(self.settings.limits.drain_ms / 1000, self.stop)
         self.drained()
 
     def drained(self) -> None:
-        if not self.sessions.by_id:
+        if not (self.workers.left() if self.workers else self.worker.by_id):
             self.stop()
         elif not self.stopping:
             self.loop.call_later(0.1, self.drained)
@@ -413,9 +456,9 @@
             "trace": traceback.format_exception(error),
             "passes": self.loop.passes,
             "longest_pass_s": self.loop.longest_pass_s,
-            "viewers": len(self.viewers),
-            "sessions": len(self.sessions.by_id),
-            "asks": len(self.sessions.asks),
+            "viewers": self.gauges()[0],
+            "sessions": self.gauges()[1],
+            "asks": len(self.asks.open),
             "counts": dict(self.counts),
             "hooks": self.hooks.engine.report(),
         }
@@ -426,29 +469,47 @@
             Path(self.settings.crash_report).write_text(json.dumps(report, indent=1) + "\n")
         return report
 
+    def leave(self) -> None:
+        """Another decider is about to take over, with the same workers: goes without a word to anybody."""
+        self.stopping = True
+        self.list.wanted = False
+        self.builder.stop()
+        if self.asks.recorder:
+            self.asks.recorder.stop()
+        if self.membership:
+            self.membership.close()
+            self.membership = None
+        if self.peers:
+            self.peers.close()
+            self.peers = None
+        self.end()
+
     def stop(self) -> None:
         """Takes nothing new, answers what was taken, ends what plays, then ends the loop."""
         if self.stopping:
             return
         self.stopping = True
-        log.info("stopping", asked=len(self.sessions.asks), viewers=len(self.viewers))
+        log.info("stopping", asked=len(self.asks.open), viewers=self.gauges()[0])
         for sock in self.listeners:
             if sock.fileno() >= 0:
-                self.loop.watch(sock, 0, self.accept)
+                self.loop.watch(sock, 0, self.worker.accept)
                 sock.close()
         self.builder.stop()
         self.loop.call_later(STOP_S, self.end)
+        if self.workers:
+            self.workers.send_all(Retire(True))
+        else:
+            self.worker.stop()
         self.finish()
 
     def finish(self) -> None:
         """Again each moment until no answer is owed and no attempt is out."""
-        self.sessions.stop()
-        if self.sessions.asks:
+        if self.workers.left() if self.workers else self.worker.asks or self.asks.open:
             self.loop.call_later(0.02, self.finish)
             return
         self.list.stop()
-        if self.sessions.recorder:
-            self.sessions.recorder.stop()
+        if self.asks.recorder:
+            self.asks.recorder.stop()
         if self.guard:
             self.guard.close()
         if self.membership:
@@ -457,8 +518,6 @@
         if self.peers:
             self.peers.close()
             self.peers = None
-        for viewer in list(self.viewers):
-            viewer.stream.close()
         self.loop.call_later(0.05, self.end)
 
     def end(self) -> None:
@@ -467,6 +526,8 @@
             self.capture.close()
         if self.keeper:
             self.keeper.close()
+        if self.workers:
+            self.workers.close()
         self.loop.stop()
 
     # actions
@@ -498,7 +559,7 @@
     def ready_page(self) -> tuple[int, str, bytes]:
         if self.stopping or self.draining:
             return 503, "text/plain", b"stopping\n" if self.stopping else b"draining\n"
-        if self.over_memory:
+        if self.worker.over_memory:
             return 503, "text/plain", b"over its memory\n"
         if not self.list.list.boxes:
             return 503, "text/plain", b"no box list yet\n"
@@ -524,9 +585,10 @@
         for name, value in sorted(Counter(self.counts).items()):
             happened.add_metric([name], value)
         now = GaugeMetricFamily("lemonhall_now", "What is open now, by name", labels=["what"])
-        now.add_metric(["viewers"], len(self.viewers))
-        now.add_metric(["sessions"], len(self.sessions.by_id))
-        now.add_metric(["asks"], len(self.sessions.asks))
+        viewers, sessions = self.gauges()
+        now.add_metric(["viewers"], viewers)
+        now.add_metric(["sessions"], sessions)
+        now.add_metric(["asks"], len(self.asks.open))
         now.add_metric(["boxes"], len(self.list.list.boxes))
         now.add_metric(["list_version"], self.list.list.version)
         now.add_metric(["longest_pass_seconds"], self.loop.longest_pass_s)
@@ -541,7 +603,7 @@
         overruled = CounterMetricFamily("lemonhall_hooks_overruled", "Words that did not stand")
         overruled.add_metric([], sum(self.hooks.engine.overruled.values()))
         if self.keeper:
-            for name, value in sorted((self.keeper.counts + self.sessions.claims.counts).items()):
+            for name, value in sorted((self.keeper.counts + self.asks.claims.counts).items()):
                 happened.add_metric([f"store_{name}"], value)
             now.add_metric(["store_groups"], self.keeper.writer.groups)
         return [happened, now, said, scripts, overruled]
--- /dev/null
+++ b/lemonhall/front/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Towards media servers: attempts, relayed streams, descriptions."""
--- a/lemonhall/front/attempt.py
+++ b/lemonhall/front/servers/attempt.py
@@ -17,7 +17,6 @@
 from lemonhall.rtsp import Frames, Malformed, Parser, Request, Response, reports, rtp
 from lemonhall.rtsp.messages import make_request
 from lemonhall.rtsp.parser import split_frames
-from lemonhall.store import Hold
 
 TEARDOWN_S = 0.5  # a server's answer to TEARDOWN is waited for so long; then the connection is reset
 FULL = (453, 503)
@@ -74,7 +73,6 @@
         self.report: tuple[float, ...] = ()
         self.play_ok = self.media_seen = False
         self.clear = clear  # whether the request may leave
-        self.hold: Hold | None = None  # of a paid claim: what the end is written under
         self.timer: Timer | None = loop.call_later(timeout_s, self.end, Outcome.TIMEOUT)
         self.stream = Stream.connect(loop, address, self, min(connect_s, max(0.001, timeout_s)))
 
--- /dev/null
+++ b/lemonhall/front/servers/listed.py
@@ -0,0 +1,67 @@
+"""The box list as it stands, at the decider and at its workers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lemonhall import interface as i
+from lemonhall.boxlist import Box, State, Update
+from lemonhall.loop.stream import Address
+
+
+def parse_address(text: str) -> Address | None:
+    if text.startswith("unix:"):
+        return text[5:]
+    host, _, port = text.rpartition(":")
+    return (host.strip("[]"), int(port)) if host and port.isdigit() else None
+
+
+def to_server(box: Box) -> i.Server:
+    return i.Server(
+        box.id, box.kind, box.weight, box.zone, box.cell, box.started_ms, i.ServerState(int(box.state))
+    )
+
+
+class BoxList:
+    """What the list says now. `apply` gives the event for the module, or None for what is old news.
+
+    A list that tells of a time before this front was born cannot name a server that has started since, and
+    leaves the front as unsure as its cached one: it is told as `CACHED`, whole, until the list has caught up.
+    """
+
+    def __init__(self, born_ms: float = 0.0) -> None:
+        self.born_ms = born_ms
+        self.version = 0
+        self.boxes: dict[int, Box] = {}
+        self.addresses: dict[int, Address] = {}  # also of boxes that have left: attempts may still end there
+        self.on_news: Callable[[Update], object] = lambda update: None  # of each update that was news
+
+    def apply(self, update: Update, cached: bool = False) -> i.ServerList | None:
+        news = update.full or update.version > self.version or (update.as_of_ms and not update.boxes)
+        if not news or not (update.full or self.version):
+            return None
+        if update.full:
+            self.boxes = {}
+        for box in update.boxes:
+            if address := parse_address(box.address):
+                self.addresses[box.id] = address
+            if box.state == State.GONE:
+                self.boxes.pop(box.id, None)
+            else:
+                self.boxes[box.id] = box
+        self.version = max(update.version, self.version) if not update.full else update.version
+        self.on_news(update)
+        if cached or 0 < update.as_of_ms < self.born_ms:
+            return i.ServerList(i.ListKind.CACHED, self.version, tuple(self.servers()))
+        kind = i.ListKind.FULL if update.full else i.ListKind.CHANGES
+        return i.ServerList(kind, update.version, tuple(to_server(b) for b in update.boxes))
+
+    def by_address(self) -> dict[str, int]:
+        """Numbers of the servers that are listed, by host:port."""
+        return {b.address: b.id for b in self.boxes.values()}
+
+    def servers(self) -> list[i.Server]:
+        return [to_server(box) for box in self.boxes.values()]
+
+    def snapshot(self) -> Update:
+        return Update(version=self.version, full=True, boxes=self.boxes.values())
--- /dev/null
+++ b/lemonhall/front/viewers/__init__.py
@@ -0,0 +1,1 @@
+"""The carrying side: viewers, their sessions, the worker that has them."""
--- a/lemonhall/front/routes.py
+++ b/lemonhall/front/viewers/routes.py
@@ -4,9 +4,7 @@
 
 from dataclasses import dataclass
 
-import xxhash
-
-from lemonhall.config.routing import Answered, Chosen, Matched, Pool, Request, Router
+from lemonhall.config.routing import Answered, Chosen, Matched, Pool, Request, Router, title_of
 from lemonhall.config.settings import Terms
 from lemonhall.rtsp.messages import Headers
 
@@ -26,11 +24,6 @@
     key: str = ""  # what a pick by hash from it goes by
 
 
-def title_of(path: str) -> int:
-    """64 bits for a title: its path without the query. Stable over machines and versions (XXH3)."""
-    return xxhash.xxh3_64_intdigest(path.partition("?")[0].encode())
-
-
 def table(terms: Terms) -> Router:
     return Router(terms.routes, terms.normal_paths)
 
--- a/lemonhall/front/session.py
+++ b/lemonhall/front/viewers/session.py
@@ -7,31 +7,29 @@
     playing  PLAY was answered 200; media flow
     moving   off its server, to be asked again as a moved session; the viewer keeps its connection
     ended    454 to whatever comes
-
-An ask is what the module knows as a session: a new one for each PLAY that is taken and for each move.
 """
 
 from __future__ import annotations
 
 import math
+from collections import Counter
 from enum import Enum, auto
-from typing import TYPE_CHECKING
-
-from lemonhall import interface as i
-from lemonhall.front.attempt import Attempt
-from lemonhall.front.attempt import State as AttemptState
-from lemonhall.front.relay import Track
-from lemonhall.front.routes import Asked, title_of
+from typing import Protocol
+
+from lemonhall.config.routing import title_of
+from lemonhall.front.servers.attempt import Attempt
+from lemonhall.front.servers.attempt import State as AttemptState
+from lemonhall.front.servers.relay import Track
+from lemonhall.front.viewers.routes import Asked
+from lemonhall.front.viewers.slot import Slot
 from lemonhall.interface import Outcome
-from lemonhall.loop import Timer
+from lemonhall.loop import Loop, Timer
 from lemonhall.rtsp import Frames, Response, rtp
 from lemonhall.rtsp.messages import make_response
 from lemonhall.rtsp.parser import frame, split_frames
-from lemonhall.store import Hold, Token
-
-if TYPE_CHECKING:
-    from lemonhall.front.sessions import Sessions
-    from lemonhall.front.viewer import Slot, ViewerConnection
+from lemonhall.seam import Asked as Said
+from lemonhall.seam import Carry
+from lemonhall.store import Token
 
 
 class State(Enum):
@@ -42,20 +40,55 @@
     ENDED = auto()
 
 
+class Connection(Protocol):
+    """The viewer's, as its sessions see it."""
+
+    sessions: dict[str, Session]
+
+    def answer(self, slot: Slot, response: Response) -> None: ...
+    def media(self, session: Session, data: memoryview) -> None: ...
+    def url(self, session: Session, track: int) -> str: ...
+
+
+class Minder(Protocol):
+    """The worker, as its sessions see it."""
+
+    loop: Loop
+    counts: Counter[str]
+
+    def new_id(self) -> str: ...
+    def begin_ask(self, session: Session, moved: bool) -> None: ...
+    def viewer_gone(self, session: Session) -> None: ...
+    def forget(self, session: Session) -> None: ...
+    def playing(self, ask: Ask, attempt: Attempt, took_ms: float) -> None: ...
+    def note(self, ask: Ask, attempt: Attempt, kind: int, value: float) -> None: ...
+    def attempt_ended(
+        self, ask: Ask, attempt: Attempt, outcome: Outcome, report: tuple[float, ...]
+    ) -> None: ...
+
+
 class Ask:
-    """One session of the module's: its number, attempts so far, and the answer that is owed."""
+    """One session of the module's, and what its attempts tell. `said`: as the decider is told of it."""
 
-    def __init__(self, number: int, deadline: float) -> None:
-        self.number, self.deadline = number, deadline  # seconds of the loop's clock
+    def __init__(self, session: Session, said: Said, most: int) -> None:
+        self.session, self.said, self.number, self.deadline = session, said, said.ask, said.deadline
+        self.carry = Carry(most)
         self.rung = 0
-        self.attempts = 0
         self.attempt: Attempt | None = None
         self.answered = False
         self.backstop: Timer | None = None
-        self.advice = i.NO_ADVICE  # what the module was told of wishes for it
-        self.hold: Hold | None = None  # of a paid claim: the right to set it up
-        self.told: i.NewSession | None = None  # as the module was told of it
-        self.reason = ""  # given by a hook that wishes it refused
+        self.memo = b""  # what its decider wishes to be remembered
+        self.attempt_media = session.attempt_media
+        self.attempt_rtcp = session.attempt_rtcp
+
+    def attempt_playing(self, attempt: Attempt, took_ms: float) -> None:
+        self.session.attempt_playing(self, attempt, took_ms)
+
+    def attempt_note(self, attempt: Attempt, kind: int, value: float) -> None:
+        self.session.worker.note(self, attempt, kind, value)
+
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, report: tuple[float, ...]) -> None:
+        self.session.worker.attempt_ended(self, attempt, outcome, report)
 
 
 class ViewerTrack:
@@ -68,19 +101,19 @@
 class Session:
     def __init__(
         self,
-        sessions: Sessions,
-        viewer: ViewerConnection,
+        worker: Minder,
+        viewer: Connection,
         path: str,
         there: str,
         asked: Asked,
         viewer_name: str,
         top: int,
     ) -> None:
-        self.sessions, self.viewer, self.path, self.asked = sessions, viewer, path, asked
+        self.worker, self.viewer, self.path, self.asked = worker, viewer, path, asked
         self.there = there  # the path at the servers; most often the same
         self.viewer_name, self.top = viewer_name, top
         self.viewer_id = title_of(viewer_name)  # what the module knows the viewer by
-        self.id = sessions.new_id()
+        self.id = worker.new_id()
         self.state = State.READY
         self.tracks: dict[int, ViewerTrack] = {}
         self.ask: Ask | None = None
@@ -98,11 +131,11 @@
         if start_s is not None:
             self.position_s = start_s
         self.state, self.slot, self.cseq = State.ASKED, slot, cseq
-        self.sessions.begin_ask(self, moved=False)
+        self.worker.begin_ask(self, moved=False)
 
     def position(self) -> float:
         playing = self.state in (State.PLAYING, State.MOVING)
-        return self.position_s + (self.sessions.loop.now() - self.since if playing else 0.0)
+        return self.position_s + (self.worker.loop.now() - self.since if playing else 0.0)
 
     def teardown(self) -> None:
         """The viewer wants no more: the server is told, an answer that is still owed becomes 454."""
@@ -111,8 +144,8 @@
         if was is State.ASKED:
             self.answer(make_response(454, self.cseq))
         if self.ask:
-            self.sessions.viewer_gone(self)
-        self.sessions.forget(self)
+            self.worker.viewer_gone(self)
+        self.worker.forget(self)
 
     def viewer_lost(self) -> None:
         """The viewer's connection is gone: nobody is left to answer."""
@@ -121,8 +154,8 @@
         self.state = State.ENDED
         self.slot = None
         if self.ask:
-            self.sessions.viewer_gone(self)
-        self.sessions.forget(self)
+            self.worker.viewer_gone(self)
+        self.worker.forget(self)
 
     # decided by the module
 
@@ -163,18 +196,17 @@
             if track.rtp.ssrc is not None:
                 bye = frame(track.channels[1], rtp.build_bye(track.rtp.ssrc, why))
                 self.viewer.media(self, memoryview(bye))
-        self.sessions.forget(self)
+        self.worker.forget(self)
 
     # told by an attempt
 
-    def attempt_playing(self, attempt: Attempt, took_ms: float) -> None:
-        ask = self.ask
-        if ask is None or ask.attempt is not attempt:
+    def attempt_playing(self, ask: Ask, attempt: Attempt, took_ms: float) -> None:
+        if self.ask is not ask or ask.attempt is not attempt:
             return
         moved = self.state is State.MOVING
-        self.sessions.playing(self, ask, attempt, took_ms)
+        self.worker.playing(ask, attempt, took_ms)
         if not moved:
-            self.since = self.sessions.loop.now()
+            self.since = self.worker.loop.now()
         self.state = State.PLAYING
         if not moved:
             headers = [
@@ -191,9 +223,9 @@
             return
         track = next((t.rtp for t in self.tracks.values() if t.channels[0] == run.channel), None)
         if track is None:  # a channel that is not this session's: it may be a neighbour's
-            self.sessions.counts["stray_frames"] += 1
+            self.worker.counts["stray_frames"] += 1
             return
-        now = self.sessions.loop.now()
+        now = self.worker.loop.now()
         if track.offsets is None and not track.joining:
             track.saw(run.data[run.last + 4 :], now)
             self.viewer.media(self, run.data)
@@ -208,13 +240,6 @@
             if track.channels[1] == channel and packet.kind != rtp.BYE:
                 self.viewer.media(self, memoryview(frame(channel, track.rtp.rewrite_rtcp(packet))))
 
-    def attempt_note(self, attempt: Attempt, kind: int, value: float) -> None:
-        if self.ask:
-            self.sessions.note(self.ask, attempt, kind, value)
-
-    def attempt_ended(self, attempt: Attempt, outcome: Outcome, report: tuple[float, ...]) -> None:
-        self.sessions.attempt_ended(self, attempt, outcome, report)
-
     def to_server(self, channel: int, payload: memoryview) -> None:
         """A viewer's receiver report goes on to its server while SSRCs are the same on both sides."""
         ask = self.ask
--- a/lemonhall/front/viewer.py
+++ b/lemonhall/front/viewers/viewer.py
@@ -9,12 +9,16 @@
 import re
 import socket
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import structlog
 
-from lemonhall.front import routes
-from lemonhall.front.session import Session, State, ViewerTrack
+from lemonhall.config.routing import Router
+from lemonhall.config.settings import FrontSettings
+from lemonhall.front.servers.catalogue import Catalogue
+from lemonhall.front.viewers import routes
+from lemonhall.front.viewers.session import Minder, Session, State, ViewerTrack
+from lemonhall.front.viewers.slot import Slot
 from lemonhall.interface import Repeat
 from lemonhall.loop import Handler, Stream, Timer
 from lemonhall.rtsp import Frames, Malformed, Parser, Request, Response
@@ -32,28 +36,32 @@
 from lemonhall.rtsp.sdp import Description
 from lemonhall.store import Token
 
-if TYPE_CHECKING:
-    from lemonhall.front.daemon import Daemon
-
 log = structlog.get_logger("lemonhall.front")
 PUBLIC = "OPTIONS, DESCRIBE, SETUP, PLAY, GET_PARAMETER, SET_PARAMETER, TEARDOWN"
 PENDING_MOST = 32  # requests of one connection that wait for their answer
 KNOWN_PARAMETERS = ("position",)
 
 
-class Slot:
-    """The place of one answer. `tail` is media that came for a session whose answer still waits its turn."""
+class Host(Minder, Protocol):
+    """The worker, as a viewer's connection sees it."""
+
+    settings: FrontSettings
+    catalogue: Catalogue
+    router: Router
+    host: str
+    stopping: bool
+    store_failing: bool
 
-    def __init__(self, request: Request) -> None:
-        self.request = request
-        self.answer: bytes | None = None
-        self.tail: list[bytes] = []
+    def no_more(self) -> str: ...
+    def new_token(self) -> Token | None: ...
+    def add(self, session: Session) -> None: ...
+    def viewer_closed(self, viewer: ViewerConnection) -> None: ...
 
 
 class ViewerConnection(Handler):
-    def __init__(self, daemon: Daemon, sock: socket.socket, peer: Any) -> None:
-        self.daemon, self.peer = daemon, peer
-        self.limits = daemon.settings.limits
+    def __init__(self, worker: Host, sock: socket.socket, peer: Any) -> None:
+        self.worker, self.peer = worker, peer
+        self.limits = worker.settings.limits
         self.parser = Parser()
         self.sessions: dict[str, Session] = {}
         self.slots: deque[Slot] = deque()
@@ -62,9 +70,9 @@
         self.ending = False
         self.asked = 0  # requests of ours to the viewer
         self.head_timer: Timer | None = None
-        self.active_at = daemon.loop.now()
-        self.stream = Stream(daemon.loop, sock, self, high=self.limits.viewer_backlog)
-        self.idle_timer = daemon.loop.call_later(self.limits.idle_ms / 1000, self.idle)
+        self.active_at = worker.loop.now()
+        self.stream = Stream(worker.loop, sock, self, high=self.limits.viewer_backlog)
+        self.idle_timer = worker.loop.call_later(self.limits.idle_ms / 1000, self.idle)
 
     # bytes
 
@@ -84,7 +92,7 @@
         """A message that has begun must end in time: a drip of bytes holds a descriptor, no more."""
         if self.parser.in_message and self.head_timer is None:
             wait = self.limits.head_ms / 1000
-            self.head_timer = self.daemon.loop.call_later(wait, self.too_slow)
+            self.head_timer = self.worker.loop.call_later(wait, self.too_slow)
         elif not self.parser.in_message and self.head_timer:
             self.head_timer.cancel()
             self.head_timer = None
@@ -96,22 +104,22 @@
 
     def rest(self) -> None:
         """Notes that something happened; one timer a connection looks back at it, none is made anew."""
-        self.active_at = self.daemon.loop.now()
+        self.active_at = self.worker.loop.now()
 
     def idle(self) -> None:
         """Without a session and without a request a connection is kept for a while, then closed."""
         if not self.stream.open:
             return
         wait = self.limits.idle_ms / 1000
-        left = self.active_at + wait - self.daemon.loop.now()
+        left = self.active_at + wait - self.worker.loop.now()
         if left <= 0 and not (self.sessions or self.slots):
             self.stream.close()
             return
-        self.idle_timer = self.daemon.loop.call_later(left if left > 0 else wait, self.idle)
+        self.idle_timer = self.worker.loop.call_later(left if left > 0 else wait, self.idle)
 
     def refuse_all(self, what: Malformed) -> None:
         """Bytes that cannot be read: one answer, then the connection ends. What played on it ends with it."""
-        self.daemon.counts["malformed"] += 1
+        self.worker.counts["malformed"] += 1
         log.info("connection closed", peer=str(self.peer), status=what.status, why=what.why)
         self.ending = True
         self.stream.write(make_response(what.status, what.cseq, ("Connection", "close")).encode())
@@ -123,7 +131,7 @@
             self.head_timer.cancel()
         for session in list(self.sessions.values()):
             session.viewer_lost()
-        self.daemon.viewer_closed(self)
+        self.worker.viewer_closed(self)
 
     def on_frames(self, run: Frames) -> None:
         """Receiver reports of the viewer's; channels that nobody set up are passed over."""
@@ -156,7 +164,7 @@
                 self.asked += 1
                 location = ("Location", f"rtsp://{to}{session.path}")
                 named = ("Session", session.id)
-                url = f"rtsp://{self.daemon.host}{session.path}"
+                url = f"rtsp://{self.worker.host}{session.path}"
                 self.stream.write(make_request("REDIRECT", url, self.asked, named, location).encode())
 
     def slot_of(self, session: Session) -> Slot | None:
@@ -176,17 +184,17 @@
     def full(self) -> None:
         for session in self.sessions.values():
             session.hold_back()
-        self.daemon.loop.call_later(self.limits.stalled_ms / 1000, self.check_stalled)
+        self.worker.loop.call_later(self.limits.stalled_ms / 1000, self.check_stalled)
 
     def check_stalled(self) -> None:
         stream = self.stream
         if not stream.open or stream.stalled_since is None:
             return
-        still = stream.stalled_since + self.limits.stalled_ms / 1000 - self.daemon.loop.now()
+        still = stream.stalled_since + self.limits.stalled_ms / 1000 - self.worker.loop.now()
         if still > 0:
-            self.daemon.loop.call_later(still + 0.001, self.check_stalled)
+            self.worker.loop.call_later(still + 0.001, self.check_stalled)
             return
-        self.daemon.counts["viewer_stalled"] += 1
+        self.worker.counts["viewer_stalled"] += 1
         stream.abort()
 
     def drained(self) -> None:
@@ -244,9 +252,9 @@
 
     def asked_for(self, slot: Slot, path: str, request: Request) -> tuple[routes.Asked, str] | None:
         """Where the request's route leads; where it leads nowhere, or elsewhere, it is answered here."""
-        daemon = self.daemon
+        worker = self.worker
         host = split_url(request.url)[0]
-        found = routes.match(daemon.settings.terms, daemon.router, path, request.headers, host)
+        found = routes.match(worker.settings.terms, worker.router, path, request.headers, host)
         if isinstance(found, tuple):
             return found
         if found is None:
@@ -288,19 +296,19 @@
             else:
                 self.reply(slot, status)
 
-        self.daemon.catalogue.describe(path, described)
+        self.worker.catalogue.describe(path, described)
 
     def do_setup(self, slot: Slot, request: Request) -> None:
         found = self.path(slot, request)
         if found is None:
             return
         path, track = found
-        settings = self.daemon.settings
+        settings = self.worker.settings
         routed = self.asked_for(slot, path, request)
         if routed is None:
             return
         asked, there = routed
-        known = self.daemon.catalogue.known(there)
+        known = self.worker.catalogue.known(there)
         if known and track is None and len(known.tracks) > 1:
             self.reply(slot, 459)
             return
@@ -316,14 +324,14 @@
             if request.session:
                 self.reply(slot, 454)
                 return
-            if why := self.daemon.no_more():
-                self.daemon.counts[why] += 1
+            if why := self.worker.no_more():
+                self.worker.counts[why] += 1
                 self.reply(slot, 503, ("Retry-After", "2"))
                 return
             top = request.headers.get(settings.rung_header)
             most = len(settings.terms.ladder_kb) - 1
             session = Session(
-                self.daemon.sessions,
+                self.worker,
                 self,
                 path,
                 there,
@@ -335,7 +343,7 @@
                 return
             session.again = request.headers.get(settings.again_header) not in ("", "0")
             self.sessions[session.id] = session
-            self.daemon.sessions.add(session)
+            self.worker.add(session)
         elif session.state is not State.READY:
             self.reply(slot, 455, ("Allow", "PLAY, TEARDOWN, GET_PARAMETER, SET_PARAMETER"))
             return
@@ -353,15 +361,15 @@
 
     def name_claim(self, session: Session, slot: Slot, request: Request) -> bool:
         """The token of a paid claim: the viewer's, if it comes again, else a new one. Answers 400 or 503."""
-        keeper, settings = self.daemon.keeper, self.daemon.settings
+        settings = self.worker.settings
         if settings.terms.classes[session.asked.cls].repeat is not Repeat.PAID:
             return True
-        if keeper and keeper.failing:
-            self.daemon.counts["refused_store"] += 1
+        if self.worker.store_failing:
+            self.worker.counts["refused_store"] += 1
             self.reply(slot, 503, ("Retry-After", "2"))
             return False
         text = request.headers.get(settings.claim_header)
-        session.claim = Token.parse(text) if text else keeper.new_token() if keeper else None
+        session.claim = Token.parse(text) if text else self.worker.new_token()
         if text and session.claim is None:
             self.reply(slot, 400)
             return False
@@ -388,7 +396,7 @@
         return Transport("RTP/AVP/TCP", True, wish)
 
     def url(self, session: Session, track: int) -> str:
-        return f"rtsp://{self.daemon.host}{session.path}/trackID={track}"
+        return f"rtsp://{self.worker.host}{session.path}/trackID={track}"
 
     def do_play(self, slot: Slot, request: Request) -> None:
         session = self.find(slot, request)
@@ -406,7 +414,7 @@
             self.reply(slot, 200, ("Session", session.id), ("Range", f"npt={session.position():.3f}-"))
         elif session.state is not State.READY:
             self.reply(slot, 455)
-        elif self.daemon.stopping:
+        elif self.worker.stopping:
             self.reply(slot, 503, ("Retry-After", "2"))
         else:
             session.play(slot, request.cseq, parse_npt(request.headers.get("Range")))
--- /dev/null
+++ b/lemonhall/front/workers/changing.py
@@ -0,0 +1,208 @@
+"""Change of guard where a front has workers: one parent takes over from another.
+
+Only the parent's sockets and the decider's place change hands, as portion 0 of `guarding.relief`; a baton
+says whose they are. The old decider goes first, and the new one, which stands by, comes in its place: to the
+workers that is a decider that ended and another that came, which they are made for. Workers stay where they
+are, under the old parent, with what plays there; they take nothing new and go when theirs has ended. No
+connection moves.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from lemonhall.front.guarding.guard import about, differences
+from lemonhall.front.guarding.relief import Do, Effect, Giver, Taker
+from lemonhall.front.process.channel import Baton, Channel
+from lemonhall.front.workers.parent import Parent
+from lemonhall.loop import Timer, listen
+
+log = structlog.get_logger("lemonhall.front")
+PATIENCE_S = 5.0
+POINTS = ("asked", "yielded", "sent", "unpacked", "owned", "told", "given", "over")
+
+
+class Giving:
+    """At the parent that is relieved; listens at the guard's path. Raises `OSError` if it cannot."""
+
+    def __init__(self, parent: Parent, path: str, point: Callable[[str], object] = lambda name: None) -> None:
+        self.parent, self.loop, self.path, self.point = parent, parent.loop, Path(path), point
+        self.giver = Giver()
+        self.channel: Channel | None = None
+        self.baton: Baton | None = None
+        self.patience: Timer | None = None
+        self.listener: socket.socket | None = None
+        self.done = False
+        parent.on_yielded = self.yielded
+        parent.on_ending = self.close
+        self.listen()
+
+    def listen(self) -> None:
+        self.path.unlink(missing_ok=True)
+        self.listener = listen(self.loop, str(self.path), self.accept)
+        self.path.chmod(0o600)
+
+    def accept(self, sock: socket.socket, _: Any) -> None:
+        if self.channel is not None or self.parent.ending or not self.parent.serving:
+            other = Channel(self.loop, sock, lambda message, fds: None, lambda: None)
+            other.send({"refused": ["another change of guard is under way"]})
+            return
+        self.channel = Channel(self.loop, sock, self.heard, self.ended)
+
+    def heard(self, message: dict[str, Any], fds: list[int]) -> None:
+        for fd in fds:
+            os.close(fd)
+        if "hello" in message:
+            self.point("asked")
+            other = differences(about(self.parent.settings), message["hello"])
+            if other:
+                log.warning("successor refused", other=other)
+                assert self.channel
+                self.channel.send({"refused": other})
+            self.carry_out(self.giver.asked(not other))
+        elif "tried" in message:
+            self.carry_out(self.giver.answered(message["tried"]))
+        elif "here" in message:
+            self.carry_out(self.giver.confirmed())
+
+    def ended(self) -> None:
+        self.channel = None
+        self.carry_out(self.giver.gone())
+
+    def carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            self.act(effect)
+
+    def act(self, effect: Effect) -> None:
+        if effect.do is Do.HAND:
+            self.parent.give_way()  # `yielded` follows
+        elif effect.do is Do.TRY:
+            if self.patience:
+                self.patience.cancel()
+            baton, self.baton = self.baton, None
+            # without one nothing has been sent yet: it is still ours
+            self.carry_out(self.giver.tried(0, baton is None or baton.take()))
+        elif effect.do in (Do.RESUME, Do.SERVE):
+            log.warning("serving again, nobody has taken over")
+            if effect.do is Do.SERVE:
+                self.close_listener()
+                self.listen()
+            self.parent.take_back()
+        elif effect.do is Do.FORGET:
+            self.point("given")
+        elif effect.do is Do.NEXT:
+            self.carry_out(self.giver.nothing_left())
+        elif effect.do is Do.LAST and self.channel:
+            self.channel.send({"last": True})
+        elif effect.do is Do.OVER:
+            self.point("over")
+            log.info("relieved", workers=len(self.parent.workers()))
+            self.done = True
+            self.close()
+            self.parent.relieved()
+
+    def yielded(self) -> None:
+        """The decider has gone: the place is free."""
+        self.point("yielded")
+        if self.channel is None or self.giver.out != 0:
+            if not self.giver.relieved:
+                self.parent.take_back()
+            return
+        p = self.parent
+        sockets = [(n, s) for n, s in (("viewers", p.viewers), ("status", p.status), ("seam", p.seam)) if s]
+        self.baton = Baton()
+        fds = [self.baton.fd, *(s.fileno() for _, s in sockets)]
+        told = {"sockets": [n for n, _ in sockets], "seam_path": p.seam_path, "folder": p.folder}
+        self.channel.send({"portion": 0, **told, "next_number": p.next_number}, fds)
+        self.patience = self.loop.call_later(PATIENCE_S, self.lose_patience)
+        self.point("sent")
+
+    def lose_patience(self) -> None:
+        log.warning("successor is silent")
+        self.carry_out(self.giver.answered(0))
+
+    def close_listener(self) -> None:
+        if self.listener:
+            self.loop.watch(self.listener, 0, self.accept)
+            self.listener.close()
+            self.listener = None
+
+    def close(self) -> None:
+        self.close_listener()
+        if not self.done and not self.giver.relieved:
+            self.path.unlink(missing_ok=True)
+        if self.channel:
+            self.channel.close()
+            self.channel = None
+
+
+class Taking:
+    """At the parent that comes. `opened(anew)` is called at its turn, `refused(why)` if it is not wanted."""
+
+    def __init__(
+        self,
+        parent: Parent,
+        path: str,
+        opened: Callable[[bool], object],
+        refused: Callable[[str], object],
+        point: Callable[[str], object] = lambda name: None,
+    ) -> None:
+        """Raises `OSError` if nobody is there to be relieved."""
+        self.parent, self.opened, self.refused, self.point = parent, opened, refused, point
+        self.taker = Taker()
+        self.baton: Baton | None = None
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            sock.connect(path)
+        except OSError:
+            sock.close()
+            raise
+        self.channel = Channel(parent.loop, sock, self.heard, self.ended)
+        self.channel.send({"hello": about(parent.settings)})
+
+    def heard(self, message: dict[str, Any], fds: list[int]) -> None:
+        if "refused" in message:
+            self.taker.ended = True
+            self.refused(f"refused by the front that serves, for: {', '.join(message['refused'])}")
+        elif "last" in message:
+            self.carry_out(self.taker.last())
+        else:
+            self.baton = Baton(fds.pop(0))
+            p = self.parent
+            for name in message["sockets"]:
+                setattr(p, name, socket.socket(fileno=fds.pop(0)))
+            p.seam_path, p.folder, p.next_number = (
+                message["seam_path"],
+                message["folder"],
+                message["next_number"],
+            )
+            self.point("unpacked")
+            self.carry_out(self.taker.handed(0, True))
+
+    def ended(self) -> None:
+        self.carry_out(self.taker.gone())
+
+    def carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            self.act(effect)
+
+    def act(self, effect: Effect) -> None:
+        if effect.do is Do.TRY and self.baton:
+            self.carry_out(self.taker.tried(0, self.baton.take()))
+        elif effect.do is Do.SERVE:
+            self.opened(self.parent.seam is None)
+        elif effect.do is Do.TOOK:
+            self.point("owned")
+            self.channel.send({"tried": 0})
+            self.point("told")
+        elif effect.do is Do.HERE:
+            self.channel.send({"here": True})
+        elif effect.do is Do.END:
+            self.parent.folder = ""  # they are the other's
+            self.refused("the front that serves goes on: this one could not take over")
--- /dev/null
+++ b/lemonhall/front/workers/lines.py
@@ -0,0 +1,184 @@
+"""The decider's links to its workers."""
+
+from __future__ import annotations
+
+import pickle
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from lemonhall.boxlist import Update
+from lemonhall.config.settings import FrontSettings
+from lemonhall.front.process.daemon import Daemon
+from lemonhall.front.workers.build import build
+from lemonhall.front.workers.link import Link
+from lemonhall.loop import Stream
+from lemonhall.loop.stream import accept_on
+from lemonhall.seam import (
+    LEAST,
+    VERSION,
+    Configured,
+    Counted,
+    Hello,
+    Listed,
+    Message,
+    Ping,
+    Pong,
+    Retire,
+    Stored,
+    agree,
+)
+from lemonhall.seam.pulse import Pulse
+
+log = structlog.get_logger("lemonhall.front")
+TICK_S = 0.25
+HUNG_S = 6.0  # a worker that is silent for so long is held for hung, and ended
+HELLO_S = 5.0
+
+
+class Line:
+    """To one worker. `number` is of the link; `worker` the worker's own."""
+
+    def __init__(self, lines: Lines, sock: socket.socket, number: int) -> None:
+        self.lines, self.number = lines, number
+        self.link = Link(self.heard, self.ended)
+        self.link.on_bytes = lambda: lines.pulse.heard(number, lines.loop.now())
+        self.link.stream = Stream(lines.loop, sock, self.link, high=1 << 20)
+        self.hello: Hello | None = None
+        self.mine = False  # it takes new viewers: of this parent, and of the same program
+        self.viewers = self.sessions = 0
+        lines.loop.call_later(HELLO_S, self.late)
+
+    def late(self) -> None:
+        if self.hello is None and self.link.stream:
+            self.link.stream.abort()
+
+    def send(self, message: Message) -> bool:
+        return self.link.send(message)
+
+    def heard(self, message: Message) -> None:
+        lines = self.lines
+        if self.hello is None:
+            if isinstance(message, Hello):
+                self.hello = message
+                lines.greet(self, message)
+        elif lines.daemon.asks.heard(self, message) or isinstance(message, Pong):
+            pass
+        elif isinstance(message, Counted):
+            self.viewers, self.sessions = message.viewers, message.sessions
+            for name, value in message.counts:
+                lines.daemon.counts[name] += int(value)
+
+    def ended(self) -> None:
+        self.lines.lost(self)
+
+
+class Lines:
+    """`seam`: the socket at which workers come; it listens already. `tell_parent`: of what it must know."""
+
+    def __init__(
+        self,
+        daemon: Daemon,
+        seam: socket.socket,
+        family: str,
+        tell_parent: Callable[[dict[str, Any]], object],
+    ) -> None:
+        self.daemon, self.loop, self.seam, self.family = daemon, daemon.loop, seam, family
+        self.tell_parent = tell_parent
+        self.lines: dict[int, Line] = {}
+        self.links = 0
+        self.pulse = Pulse(HUNG_S, TICK_S)
+        daemon.loop.after_pass.append(self.flush)
+        daemon.list.list.on_news = self.on_list
+
+    # the daemon's side
+
+    def opened(self) -> None:
+        accept_on(self.loop, self.seam, self.accept)
+        self.tick()
+
+    def settle(self, settings: FrontSettings) -> None:
+        self.tell_parent({"workers": settings.workers})
+        for line in self.lines.values():
+            if line.mine:
+                self.configure(line, settings)
+
+    def send_all(self, message: Message) -> None:
+        for line in list(self.lines.values()):
+            line.send(message)
+
+    def left(self) -> int:
+        """Workers that are still there."""
+        return len(self.lines)
+
+    def gauges(self) -> tuple[int, int]:
+        lines = self.lines.values()
+        return sum(line.viewers for line in lines), sum(line.sessions for line in lines)
+
+    def close(self) -> None:
+        self.loop.watch(self.seam, 0, self.accept)
+        for line in list(self.lines.values()):
+            if line.link.stream:
+                line.link.stream.close()
+
+    # links
+
+    def accept(self, sock: socket.socket, _: Any) -> None:
+        self.links += 1
+        line = self.lines[self.links] = Line(self, sock, self.links)
+        self.pulse.heard(line.number, self.loop.now())
+
+    def greet(self, line: Line, hello: Hello) -> None:
+        """`Welcome` comes last: a worker that hears it knows all that it needs."""
+        d = self.daemon
+        version = agree(VERSION, LEAST, hello.version, hello.least)
+        same = version > 0 and hello.build == build()
+        line.mine = same and hello.family == self.family
+        known = {"worker": hello.worker, "pid": hello.pid, "takes": line.mine}
+        log.info("worker", **known)
+        if line.mine:
+            self.configure(line, d.settings)
+            self.tell_parent({"takes": hello.worker})
+            line.send(Listed(d.list.list.snapshot().SerializeToString()))
+            if d.keeper:
+                line.send(Stored(d.keeper.ledger.pruned_s, bool(d.keeper.failing)))
+        elif hello.family == self.family:
+            self.tell_parent({"replace": hello.worker})
+        line.send(d.welcome(version, line.mine))
+        if d.stopping or d.draining:
+            line.send(Retire(d.stopping))
+
+    def configure(self, line: Line, settings: FrontSettings) -> None:
+        line.send(Configured(max(1, settings.workers), pickle.dumps(settings)))
+
+    def lost(self, line: Line) -> None:
+        self.lines.pop(line.number, None)
+        self.pulse.forget(line.number)
+        if line.hello:
+            log.info("worker gone", worker=line.hello.worker, sessions=line.sessions)
+        self.daemon.asks.lose(line)
+
+    def on_list(self, update: Update) -> None:
+        data = update.SerializeToString()
+        for line in self.lines.values():
+            if line.mine:
+                line.send(Listed(data))
+
+    def flush(self) -> None:
+        for line in list(self.lines.values()):
+            line.link.flush()
+
+    def tick(self) -> None:
+        now = self.loop.now()
+        mine = [line for line in self.lines.values() if line.mine]
+        mean = sum(line.viewers for line in mine) / max(1, len(mine))
+        for line in self.lines.values():
+            line.send(Ping(now, mean))
+        for number in self.pulse.tick(now):
+            hello = self.lines[number].hello
+            log.error("worker hangs", worker=hello.worker if hello else None)
+            if hello:
+                self.tell_parent({"hung": hello.worker})
+        self.loop.call_later(TICK_S, self.tick)
--- /dev/null
+++ b/lemonhall/front/workers/link.py
@@ -0,0 +1,60 @@
+"""One end of a link over the seam, on a socket: messages in, one write a pass out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import structlog
+
+from lemonhall.loop import Handler, Stream
+from lemonhall.seam import Broken, Message, Outbox, Reader
+
+log = structlog.get_logger("lemonhall.front")
+
+
+class Link(Handler):
+    """`heard(message)` for each message; `ended()` once. Whoever owns it calls `flush` after each pass."""
+
+    def __init__(self, heard: Callable[[Message], object], ended: Callable[[], object]) -> None:
+        self.heard, self.ended = heard, ended
+        self.reader, self.outbox = Reader(), Outbox()
+        self.stream: Stream | None = None
+        self.on_connected: Callable[[], object] = lambda: None
+        self.on_bytes: Callable[[], object] = lambda: None
+
+    @property
+    def open(self) -> bool:
+        return self.stream is not None and self.stream.open and not self.stream.connecting
+
+    def send(self, message: Message) -> bool:
+        """False: there is no room for it, or nobody to hear it."""
+        return self.open and self.stream is not None and self.outbox.put(message, self.stream.backlog)
+
+    def flush(self) -> None:
+        stream = self.stream
+        if stream is None or not stream.open:
+            return
+        if data := self.outbox.take(stream.backlog):
+            stream.write(data)
+        if self.outbox.over(stream.backlog):
+            log.error("link given up, too much waits", bytes=stream.backlog)
+            stream.abort()
+
+    def connected(self) -> None:
+        self.on_connected()
+
+    def data(self, view: memoryview) -> None:
+        self.on_bytes()
+        for message in self.reader.feed(view):
+            if isinstance(message, Broken):
+                log.error("link given up, not understood", why=message.why)
+                if self.stream:
+                    self.stream.abort()
+                return
+            self.heard(message)
+
+    def drained(self) -> None:
+        self.flush()
+
+    def closed(self, reason: str) -> None:
+        self.ended()
--- a/lemonhall/model/fleet.py
+++ b/lemonhall/model/fleet.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING
 
 from lemonhall import interface as i
 from lemonhall.audit.trace import Attempt as Seen
 from lemonhall.config.day import BoxSpec
 from lemonhall.interface import NoteKind, Outcome, ServerState
-
-if TYPE_CHECKING:
-    from lemonhall.model.fronts import Attempt
-    from lemonhall.model.world import World
+from lemonhall.model.parts import Caller, Stage
 
 TRUE_RATES = 0.15  # a title's true rate lies so far above or below the ladder
 NOISE = 0.04  # of what servers report
@@ -36,19 +32,19 @@
 class Box:
     """`life` is the number under which the list knows this life of it; a successor has another."""
 
-    def __init__(self, world: World, spec: BoxSpec, rack: Rack) -> None:
+    def __init__(self, world: Stage, spec: BoxSpec, rack: Rack) -> None:
         self.world, self.spec, self.rack = world, spec, rack
         self.life = 0
         self.alive = False
-        self.attempts: dict[Attempt, None] = {}  # whose connections are open
-        self.playing: dict[Attempt, None] = {}
+        self.attempts: dict[Caller, None] = {}  # whose connections are open
+        self.playing: dict[Caller, None] = {}
         self.asked = 0.0
         self.still = self.lost = self.cold = False
         self.error_part = 0.0
         self.slow_since: float | None = None
         self.started = 0.0
         self.recent: deque[float] = deque()
-        self.delayed: list[Attempt] = []
+        self.delayed: list[Caller] = []
         self.said = 0
         rack.boxes.append(self)
 
@@ -130,7 +126,7 @@
 
     # set-ups
 
-    def arrive(self, attempt: Attempt) -> None:
+    def arrive(self, attempt: Caller) -> None:
         """The first request of an attempt; the audit sees it from here on."""
         world = self.world
         if attempt.over:
@@ -149,7 +145,7 @@
         else:
             self.take(attempt)
 
-    def take(self, attempt: Attempt) -> None:
+    def take(self, attempt: Caller) -> None:
         self.count_cold()
         if not self.alive:
             return
@@ -178,7 +174,7 @@
             self.world.count("tipped")
             self.die()
 
-    def set_up(self, attempt: Attempt, life: int) -> None:
+    def set_up(self, attempt: Caller, life: int) -> None:
         world, terms = self.world, self.world.day.terms
         if life != self.life or attempt not in self.attempts:
             return
@@ -205,14 +201,14 @@
             attempt.seen.end = min(attempt.seen.end, world.sim.now)
         world.sim.after(world.hop(), attempt.answered, status, self.load())
 
-    def play(self, attempt: Attempt) -> None:
+    def play(self, attempt: Caller) -> None:
         if attempt in self.playing and not self.lost and not self.still:
             assert attempt.seen
             attempt.seen.media_at = min(attempt.seen.media_at, self.world.sim.now)
             self.world.sim.after(self.world.hop(), attempt.hear, self.load())
             self.world.sim.after(self.world.hop(), attempt.media)
 
-    def set_rate(self, attempt: Attempt, kb: float) -> None:
+    def set_rate(self, attempt: Caller, kb: float) -> None:
         if attempt in self.playing:
             assert attempt.seen
             self.asked += (kb - attempt.kb_there) * attempt.truth
@@ -221,14 +217,14 @@
                 self.world.sim.after(self.world.hop(), attempt.hear, self.load())
         attempt.kb_there = kb
 
-    def tear_down(self, attempt: Attempt, outcome: Outcome) -> None:
+    def tear_down(self, attempt: Caller, outcome: Outcome) -> None:
         if attempt not in self.attempts:  # it died meanwhile
             return
         self.let_go(attempt)
         self.world.sim.after(self.world.hop(), attempt.hear, self.load())
         self.world.sim.after(self.world.hop(), attempt.end, outcome)
 
-    def let_go(self, attempt: Attempt) -> None:
+    def let_go(self, attempt: Caller) -> None:
         """Its connection is closed, or it was torn down."""
         if self.attempts.pop(attempt, 0) is None and attempt.seen:
             attempt.seen.end = min(attempt.seen.end, self.world.sim.now)
@@ -261,7 +257,7 @@
 class BoxList:
     """What the list says, and what each front has heard of it, late."""
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: Stage) -> None:
         self.world = world
         self.version = 1
         self.lines: dict[int, i.Server] = {}
--- a/lemonhall/model/fronts.py
+++ b/lemonhall/model/fronts.py
@@ -7,16 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 from lemonhall import interface as i
 from lemonhall.audit.trace import Attempt as Seen
 from lemonhall.interface import NoteKind, Outcome, ServerState
-
-if TYPE_CHECKING:
-    from lemonhall.model.fleet import Box
-    from lemonhall.model.viewers import Viewer
-    from lemonhall.model.world import World
+from lemonhall.model.fleet import Box
+from lemonhall.model.parts import Stage, Watcher
 
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 MARGIN_MS = 100.0  # of a deadline: the answer travels
@@ -37,7 +34,7 @@
 class Ask:
     """One session of the module's."""
 
-    def __init__(self, number: int, viewer: Viewer, token: str, moved: bool) -> None:
+    def __init__(self, number: int, viewer: Watcher, token: str, moved: bool) -> None:
         self.number, self.viewer, self.token, self.moved = number, viewer, token, moved
         self.deadline = 0.0
         self.rung = self.attempts = 0
@@ -124,7 +121,7 @@
 
 
 class Front:
-    def __init__(self, world: World, index: int, name: str, hall: int) -> None:
+    def __init__(self, world: Stage, index: int, name: str, hall: int) -> None:
         self.world, self.index, self.name, self.hall = world, index, name, hall
         self.up = False
         self.life = 0
@@ -211,7 +208,7 @@
 
     # sessions
 
-    def ask(self, viewer: Viewer, token: str, moved: bool = False) -> Ask:
+    def ask(self, viewer: Watcher, token: str, moved: bool = False) -> Ask:
         day, wish = self.world.day, viewer.wish
         ask = Ask(self.next_ask, viewer, token, moved)
         self.next_ask += 1
--- a/lemonhall/model/viewers.py
+++ b/lemonhall/model/viewers.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from lemonhall.audit.trace import Ask as SeenAsk
 from lemonhall.interface import Repeat
 from lemonhall.model.draws import Wish
-
-if TYPE_CHECKING:
-    from lemonhall.model.fronts import Ask, Front
-    from lemonhall.model.world import World
+from lemonhall.model.fronts import Ask, Front
+from lemonhall.model.parts import Stage
 
 TRIES_MOST = 4
 LEAST_MS = 300.0  # with less left to see, nobody comes again
@@ -19,7 +17,7 @@
 class Viewer:
     """One person's current try."""
 
-    def __init__(self, world: World, wish: Wish) -> None:
+    def __init__(self, world: Stage, wish: Wish) -> None:
         self.world, self.wish = world, wish
         self.stop_at = wish.at + wish.length_ms
         self.front: Front | None = None
--- a/lemonhall/model/world.py
+++ b/lemonhall/model/world.py
@@ -13,8 +13,8 @@
 from lemonhall.audit import Report, audit
 from lemonhall.audit.trace import Trace
 from lemonhall.config.day import Day, FaultSpec
+from lemonhall.config.routing import title_of
 from lemonhall.config.settings import FrontSettings
-from lemonhall.front.routes import title_of
 from lemonhall.interface import ServerState
 from lemonhall.model.draws import Named, Wish, wishes
 from lemonhall.model.fleet import TRUE_RATES, Box, BoxList, Rack
@@ -190,6 +190,11 @@
     def on_front_relieved(self, fault: FaultSpec, name: str) -> None:
         """A change of guard leaves sessions and what was learned as they were: here it is nothing."""
 
+    def on_decider_killed(self, fault: FaultSpec, name: str) -> None:
+        """A front is one process here."""
+
+    on_decider_stopped = on_worker_killed = on_worker_stopped = on_decider_killed
+
     def on_front_killed(self, fault: FaultSpec, name: str) -> None:
         front = next(f for f in self.fronts if f.name == name)
         now = self.sim.now
--- a/lemonhall/store/claims.py
+++ b/lemonhall/store/claims.py
@@ -48,6 +48,11 @@
     def __str__(self) -> str:
         return f"{self.issued_s:08x}-{self.front:x}-{self.store:08x}-{self.serial:016x}"
 
+    @staticmethod
+    def new(wall_s: float, pruned_s: int, front: int, store: int, serial: int) -> Token:
+        """Of now, but behind what the ledger may have taken away already. `serial`: 64 bits of chance."""
+        return Token(max(int(wall_s), pruned_s + 1), front, store, serial)
+
     @staticmethod
     def of_key(key: bytes) -> Token:
         """Raises `struct.error` if it is none."""
@@ -142,7 +147,7 @@
 
     def make(self, wall_s: float, serial: int) -> Token:
         """A claim that is new, also by a clock that has gone back."""
-        return Token(max(int(wall_s), self.pruned_s + 1), self.front, self.store, serial)
+        return Token.new(wall_s, self.pruned_s, self.front, self.store, serial)
 
     def too_old(self, token: Token, wall_s: float) -> bool:
         return wall_s - token.issued_s > self.keep_s or token.issued_s <= self.pruned_s
@@ -238,6 +243,19 @@
         standing = Standing.RAN if ran else Standing.FREE
         return Write(hold.token.key, replace(record, standing=standing, at_ms=wall_s * 1000), record)
 
+    def unsent(self, token: Token, turn: int, made: int, wall_s: float) -> Write | None:
+        """The attempt that was written as the `made`th in its turn provably never left, says who had it.
+
+        A word about an earlier attempt than the one that is written says nothing of that one."""
+        record = self.lookup(token.key)
+        if (
+            record is None
+            or record.standing is not Standing.OUT
+            or (record.turn, record.attempts) != (turn, made)
+        ):
+            return None
+        return Write(token.key, replace(record, standing=Standing.FREE, at_ms=wall_s * 1000), record)
+
     def over(self, hold: Hold) -> None:
         """Nothing more is asked under this hold."""
         if self.holds.get(hold.token) == hold:
--- a/tests/day/rogues/answered_twice.py
+++ b/tests/day/rogues/answered_twice.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from lemonhall.decide import Front
-from lemonhall.front.viewer import ViewerConnection
+from lemonhall.front.viewers.viewer import ViewerConnection
 
 __all__ = ["Front"]
 answer = ViewerConnection.answer
--- a/tests/day/rogues/unanswered.py
+++ b/tests/day/rogues/unanswered.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from lemonhall.decide import Front
-from lemonhall.front.session import Session
+from lemonhall.front.viewers.session import Session
 
 __all__ = ["Front"]
 answer, turn = Session.answer, itertools.count(1)
--- a/tests/front/test_capturing.py
+++ b/tests/front/test_capturing.py
@@ -18,8 +18,8 @@
 from lemonhall.capture import Replay, Step, Told, read_capture
 from lemonhall.capture.capture_pb2 import Header
 from lemonhall.config.settings import CaptureSettings
-from lemonhall.front import capturing
-from lemonhall.front.capturing import Capturer, header_of
+from lemonhall.front.keeping import capturing
+from lemonhall.front.keeping.capturing import Capturer, header_of
 from lemonhall.problem import BadInput
 from tests.front.world import World
 
@@ -177,7 +177,7 @@
 def test_a_running_front_is_asked_for_its_last_minutes(world: Build, tmp_path: Path) -> None:
     w = world()
     w.playing("/browse/a")
-    from lemonhall.front import status
+    from lemonhall.front.process import status
     from lemonhall.loop import listen
 
     pages = {"/capture": w.daemon.capture_page}
--- a/tests/front/test_imported.py
+++ b/tests/front/test_imported.py
@@ -11,7 +11,7 @@
 from lemonhall.boxlist import Box, State, Update
 from lemonhall.cli.importing import problem_of
 from lemonhall.config.settings import read_settings
-from lemonhall.front.daemon import Daemon
+from lemonhall.front.process.daemon import Daemon
 from lemonhall.importer import import_files
 from lemonhall.loop import Loop
 from tests.front.world import TERMS, WAIT_S, Client, ScriptedBox
--- a/tests/front/test_membership.py
+++ b/tests/front/test_membership.py
@@ -12,8 +12,8 @@
 from lemonhall import decide
 from lemonhall import interface as i
 from lemonhall.config.settings import read_settings
-from lemonhall.front.daemon import Daemon
-from lemonhall.front.membership import Membership, read_keys
+from lemonhall.front.deciding.membership import Membership, read_keys
+from lemonhall.front.process.daemon import Daemon
 from lemonhall.loop import Loop
 from lemonhall.members import Config
 from lemonhall.problem import BadInput
--- a/tests/front/test_pools.py
+++ b/tests/front/test_pools.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lemonhall.config.routing import Pool, PoolServer
-from lemonhall.front.pools import Picker
+from lemonhall.front.deciding.pools import Picker
 
 SERVERS = (PoolServer("a:1", 5), PoolServer("b:1", 1), PoolServer("c:1", 1), PoolServer("d:1", 9, True))
 
--- a/tests/front/test_relief.py
+++ b/tests/front/test_relief.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from lemonhall.front.relief import Do, Effect, Giver, Taker
+from lemonhall.front.guarding.relief import Do, Effect, Giver, Taker
 
 
 class Process:
--- a/tests/front/world.py
+++ b/tests/front/world.py
@@ -11,7 +11,7 @@
 from lemonhall import interface as i
 from lemonhall.boxlist import Box, State, Update
 from lemonhall.config.settings import read_settings
-from lemonhall.front.daemon import Daemon
+from lemonhall.front.process.daemon import Daemon
 from lemonhall.loop import Handler, Loop, Stream, listen
 from lemonhall.rtsp import Frames, Parser, Request, Response, rtp
 from lemonhall.rtsp.messages import make_request, parse_transport
