--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -85,11 +85,27 @@
 def serve_boxes(ports: Any, count: int, fps: float, flood: bool) -> None:
     """`count` fast servers and the box list that names them; tells the list's port."""
     loop = Loop()
-    boxes = []
-    for n in range(count):
+    found = []
+    for _ in range(count):
         at = listen(loop, ("127.0.0.1", 0), lambda sock, _: FastServer(loop, sock, fps, flood))
-        address = f"127.0.0.1:{at.getsockname()[1]}"
-        boxes.append(Box(id=n + 1, address=address, weight=1.0, cell=n % 2, state=State.READY))
+        found.append(int(at.getsockname()[1]))
+    ports.put((list_at(loop, found), found))
+    loop.run()
+
+
+def serve_list(ports: Any, found: list[int]) -> None:
+    """The box list alone, of servers that other processes are."""
+    loop = Loop()
+    ports.put((list_at(loop, found), found))
+    loop.run()
+
+
+def list_at(loop: Loop, found: list[int]) -> int:
+    """Serves a list of servers at those ports; its own port."""
+    boxes = [
+        Box(id=n + 1, address=f"127.0.0.1:{port}", weight=1.0, cell=n % 2, state=State.READY)
+        for n, port in enumerate(found)
+    ]
     body = delimit(Update(version=2, full=True, boxes=boxes))
     kept: list[Stream] = []
 
@@ -103,8 +119,8 @@
             self.stream.write(head.encode() + body + b"\r\n")
 
     at = listen(loop, ("127.0.0.1", 0), lambda sock, _: ListConn(sock))
-    ports.put((at.getsockname()[1], [int(b.address.rpartition(":")[2]) for b in boxes]))
-    loop.run()
+    port: int = at.getsockname()[1]
+    return port
 
 
 class FastViewer(Handler):
--- a/lemonhall/cli/serve.py
+++ b/lemonhall/cli/serve.py
@@ -19,12 +19,14 @@
 from lemonhall import decide
 from lemonhall.config.schema import SETTINGS
 from lemonhall.config.settings import FrontSettings, make_settings, read_tree
+from lemonhall.front.deciding import asks
 from lemonhall.front.guarding import guard
 from lemonhall.front.guarding.guard import GuardedDaemon
 from lemonhall.front.process.channel import Channel
 from lemonhall.front.process.daemon import Daemon, Taken, load_module
 from lemonhall.front.process.supervise import supervise
 from lemonhall.front.workers import changing
+from lemonhall.front.workers.build import settle_memory
 from lemonhall.front.workers.lines import Lines
 from lemonhall.front.workers.parent import Parent, ignore_terminal, wait_for_go
 from lemonhall.loop import Loop
@@ -46,13 +48,16 @@
 ) -> None:
     """Serve viewers by SETTINGS until SIGTERM; standard output says where."""
     if decides:
-        decide_for(settings, module, decides)
+        decide_for(settings, module, decides, die_at)
         return
     typed = read_tree(settings, SETTINGS)[1]
-    daemon = GuardedDaemon(make_settings(typed), load_module(module) if module else decide.Front)
+    made = make_settings(typed)
+    if made.workers and not (check or kept):
+        with_workers(made, settings, module, replace, die_at)
+        return
+    daemon = GuardedDaemon(made, load_module(module) if module else decide.Front)
     daemon.remember(str(settings), pickle.dumps(typed))
-    if not daemon.settings.workers:
-        daemon.point = guard.die_at(die_at)
+    daemon.point = guard.die_at(die_at) if not made.workers else daemon.point
     if check or kept or replace:
         daemon.hooks.load()
     if check:
@@ -61,9 +66,6 @@
     if kept:
         words = ["--log-format", log_format(), "serve", str(settings), *(["--replace"] if replace else [])]
         sys.exit(supervise([*words, *(["--module", module] if module else [])]))
-    if daemon.settings.workers:
-        with_workers(daemon.settings, settings, module, replace, die_at)
-        return
     if replace:
         relieve(daemon, settings)
     else:
@@ -80,7 +82,8 @@
 def with_workers(made: FrontSettings, settings: Path, module: str, replace: bool, die_at: str) -> None:
     """This process is the parent."""
     parent = Parent(settings, made, log_format(), module, Loop())
-    point = guard.die_at(die_at, changing.POINTS)
+    point = guard.die_at("" if die_at in asks.POINTS else die_at, changing.POINTS)
+    parent.die_at = die_at if die_at in asks.POINTS else ""
     wrong: list[str] = []
 
     def opened(anew: bool) -> None:
@@ -130,15 +133,16 @@
     sys.stdout.flush()
 
 
-def decide_for(settings: Path, module: str, text: str) -> None:
+def decide_for(settings: Path, module: str, text: str, die_at: str) -> None:
     """This process is the decider, or will be: its parent says when, and by which settings."""
     ignore_terminal()
     given = json.loads(text)
     control = socket.socket(fileno=given["control"])
     tree, sockets = wait_for_go(control)
     typed = pickle.loads(tree) if tree else read_tree(settings, SETTINGS)[1]
-    daemon = GuardedDaemon(make_settings(typed), load_module(module) if module else decide.Front)
+    daemon = Daemon(make_settings(typed), load_module(module) if module else decide.Front)
     daemon.remember(str(settings), pickle.dumps(typed))
+    daemon.asks.point = guard.die_at(die_at, asks.POINTS)
 
     def heard(message: dict[str, Any], _: list[int]) -> None:
         if "alive" in message:
@@ -157,6 +161,7 @@
     opened(daemon, settings)
     keep(daemon.tree)
     channel.send({"open": True})
+    settle_memory()
     run(daemon)
 
 
--- a/lemonhall/day/children.py
+++ b/lemonhall/day/children.py
@@ -16,6 +16,17 @@
 Said = Callable[[dict[str, Any]], None]
 
 
+def kin_of(pid: int, word: str) -> list[int]:
+    """A process's own children with `word` in their command line, in the order of their start."""
+    found = []
+    with contextlib.suppress(OSError):  # gone meanwhile
+        for child in Path(f"/proc/{pid}/task/{pid}/children").read_text().split():
+            with contextlib.suppress(OSError):
+                if word in Path(f"/proc/{child}/cmdline").read_text():
+                    found.append(int(child))
+    return found
+
+
 class Child:
     def __init__(
         self, loop: Loop, name: str, command: list[str], log: Path, said: Said, ended: Callable[[int], None]
@@ -67,10 +78,4 @@
             os.kill(self.process.pid, number)
 
     def kin(self, word: str) -> list[int]:
-        """Numbers of its own children with `word` in their command line, in the order of their start."""
-        pid = self.process.pid
-        try:
-            children = Path(f"/proc/{pid}/task/{pid}/children").read_text().split()
-            return [int(c) for c in children if word in Path(f"/proc/{c}/cmdline").read_text()]
-        except OSError:  # gone meanwhile
-            return []
+        return kin_of(self.process.pid, word)
--- a/lemonhall/front/deciding/asks.py
+++ b/lemonhall/front/deciding/asks.py
@@ -58,6 +58,7 @@
 log = structlog.get_logger("lemonhall.front")
 ASK_PART = 0.4  # of the time that is left: another front's word on a claim is waited for
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+POINTS = ("given", "written", "cleared")  # of a paid attempt; for tests, as in a change of guard
 LATE_S = 1.0  # behind the deadline: a worker that has said nothing by then does not run
 
 
@@ -114,6 +115,7 @@
         self.open: dict[int, Ask] = {}
         self.book = Book()
         self.holds: dict[tuple[int, int], Hold] = {}  # of attempts that are out, by ask and attempt
+        self.point: Callable[[str], object] = lambda name: None
         self.on_took: Callable[[float], object] = lambda ms: None
         self.recorder: Recorder | None = None
         self.keeper: Keeper | None = None
@@ -426,6 +428,7 @@
                 ask.out = self.book.set_up(ask.number, number, action.server, record is None)
                 if ask.hold:
                     self.holds[ask.number, number] = ask.hold
+                    self.point("given")
                 return
             self.counts["seam_full"] += 1
             if record and ask.hold and self.keeper:
@@ -439,8 +442,10 @@
         found = self.open.get(ask)
         if out is None or found is None or found.out is not out:
             return
+        self.point("written")
         if why or self.book.clear(ask, number):
             found.line.send(Cleared(ask, number, why))
+            self.loop.call_later(0.0, self.point, "cleared")  # once it has left
 
     def rate(self, ask: Ask, rung: int) -> float:
         """kB a second of a rung for the session's class."""
--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -522,12 +522,12 @@
 
     def end(self) -> None:
         """The last: what the store and the capture still have to write is written."""
+        if self.workers:
+            self.workers.close()
         if self.capture:
             self.capture.close()
         if self.keeper:
             self.keeper.close()
-        if self.workers:
-            self.workers.close()
         self.loop.stop()
 
     # actions
--- a/lemonhall/front/servers/attempt.py
+++ b/lemonhall/front/servers/attempt.py
@@ -15,7 +15,7 @@
 from lemonhall.loop import Handler, Loop, Stream, Timer
 from lemonhall.loop.stream import Address
 from lemonhall.rtsp import Frames, Malformed, Parser, Request, Response, reports, rtp
-from lemonhall.rtsp.messages import make_request
+from lemonhall.rtsp.messages import ask
 from lemonhall.rtsp.parser import split_frames
 
 TEARDOWN_S = 0.5  # a server's answer to TEARDOWN is waited for so long; then the connection is reset
@@ -84,8 +84,7 @@
         self.cseq += 1
         self.waiting[str(self.cseq)] = method
         session = [("Session", self.session)] if self.session else []
-        request = make_request(method, url, self.cseq, *session, *self.headers, *headers, body=body)
-        self.stream.write(request.encode())
+        self.stream.write(ask(method, url, self.cseq, *session, *self.headers, *headers, body=body))
 
     # the stream's side
 
--- a/lemonhall/front/viewers/session.py
+++ b/lemonhall/front/viewers/session.py
@@ -24,8 +24,8 @@
 from lemonhall.front.viewers.slot import Slot
 from lemonhall.interface import Outcome
 from lemonhall.loop import Loop, Timer
-from lemonhall.rtsp import Frames, Response, rtp
-from lemonhall.rtsp.messages import make_response
+from lemonhall.rtsp import Frames, rtp
+from lemonhall.rtsp.messages import answer, make_response
 from lemonhall.rtsp.parser import frame, split_frames
 from lemonhall.seam import Asked as Said
 from lemonhall.seam import Carry
@@ -45,7 +45,7 @@
 
     sessions: dict[str, Session]
 
-    def answer(self, slot: Slot, response: Response) -> None: ...
+    def answer(self, slot: Slot, data: bytes) -> None: ...
     def media(self, session: Session, data: memoryview) -> None: ...
     def url(self, session: Session, track: int) -> str: ...
 
@@ -142,7 +142,7 @@
         was = self.state
         self.state = State.ENDED
         if was is State.ASKED:
-            self.answer(make_response(454, self.cseq))
+            self.answer(answer(454, self.cseq))
         if self.ask:
             self.worker.viewer_gone(self)
         self.worker.forget(self)
@@ -159,11 +159,11 @@
 
     # decided by the module
 
-    def answer(self, response: Response) -> None:
+    def answer(self, data: bytes) -> None:
         """The one answer to PLAY. A second is refused here: the viewer never sees it."""
         slot, self.slot = self.slot, None
         if slot:
-            self.viewer.answer(slot, response)
+            self.viewer.answer(slot, data)
 
     def refused(self, pause_ms: float, reason: str = "") -> None:
         """503 with the pause that is advised, in whole seconds, else 453 (RFC 2326, 11.3.8 and 7.1.1).
@@ -171,17 +171,17 @@
         A hook's reason takes the place of the reason phrase, which is for people (7.1).
         """
         pause = ("Retry-After", str(math.ceil(pause_ms / 1000)))
-        answer = make_response(503, self.cseq, pause) if pause_ms > 0 else make_response(453, self.cseq)
-        answer.reason = reason
-        self.over(answer, "refused")
+        made = make_response(503, self.cseq, pause) if pause_ms > 0 else make_response(453, self.cseq)
+        made.reason = reason
+        self.over(made.encode(), "refused")
 
     def failed(self, status: int = 502) -> None:
-        self.over(make_response(status, self.cseq), "failed")
+        self.over(answer(status, self.cseq), "failed")
 
-    def over(self, answer: Response, why: str) -> None:
+    def over(self, data: bytes, why: str) -> None:
         """No more of this ask: an answer where one is owed, else the end of the stream."""
         if self.state is State.ASKED:
-            self.answer(answer)
+            self.answer(data)
             self.state = State.READY
             self.ask = None
         elif self.state is not State.ENDED:
@@ -214,7 +214,7 @@
                 ("Range", f"npt={self.position_s:.3f}-"),
                 ("RTP-Info", ",".join(f"url={self.viewer.url(self, n)}" for n in sorted(self.tracks))),
             ]
-            self.answer(make_response(200, self.cseq, *headers))
+            self.answer(answer(200, self.cseq, *headers))
         if self.held_back:
             attempt.stream.pause()
 
--- a/lemonhall/front/viewers/viewer.py
+++ b/lemonhall/front/viewers/viewer.py
@@ -21,10 +21,11 @@
 from lemonhall.front.viewers.slot import Slot
 from lemonhall.interface import Repeat
 from lemonhall.loop import Handler, Stream, Timer
-from lemonhall.rtsp import Frames, Malformed, Parser, Request, Response
+from lemonhall.rtsp import Frames, Malformed, Parser, Request
 from lemonhall.rtsp.messages import (
     METHODS,
     Transport,
+    answer,
     make_request,
     make_response,
     parse_npt,
@@ -40,6 +41,7 @@
 PUBLIC = "OPTIONS, DESCRIBE, SETUP, PLAY, GET_PARAMETER, SET_PARAMETER, TEARDOWN"
 PENDING_MOST = 32  # requests of one connection that wait for their answer
 KNOWN_PARAMETERS = ("position",)
+DOES = {method: f"do_{method.lower()}" for method in METHODS}
 
 
 class Host(Minder, Protocol):
@@ -142,10 +144,10 @@
 
     # answers
 
-    def answer(self, slot: Slot, response: Response) -> None:
+    def answer(self, slot: Slot, data: bytes) -> None:
         if slot.answer is not None:
             return
-        slot.answer = response.encode()
+        slot.answer = data
         if slot.request.cseq == (self.last[0] if self.last else None):
             self.last_answer = slot.answer
         while self.slots and self.slots[0].answer is not None:
@@ -206,11 +208,12 @@
 
     def on_request(self, request: Request) -> None:
         self.rest()
-        key = (request.cseq, request.method, request.url)
-        if not re.fullmatch(r"\d{1,10}", request.cseq):
+        cseq = request.cseq
+        key = (cseq, request.method, request.url)
+        if not (cseq.isascii() and cseq.isdigit() and len(cseq) <= 10):
             self.refuse_all(Malformed(400, "a request without a CSeq"))
             return
-        if self.last and request.cseq == self.last[0]:
+        if self.last and cseq == self.last[0]:
             if key != self.last:
                 self.now(request, 400)
             elif self.last_answer is not None:  # the same again: the same answer, nothing is done twice
@@ -224,9 +227,9 @@
         self.slots.append(slot)
         if "Require" in request.headers:
             wanted = ("Unsupported", request.headers.get("Require"))
-            self.answer(slot, make_response(551, request.cseq, wanted))
+            self.reply(slot, 551, wanted)
             return
-        act = getattr(self, f"do_{request.method.lower()}", None) if request.method in METHODS else None
+        act = getattr(self, DOES[request.method], None) if request.method in METHODS else None
         if act:
             act(slot, request)
         elif request.method in METHODS:
@@ -240,7 +243,7 @@
         self.reply(slot, status)
 
     def reply(self, slot: Slot, status: int, *headers: tuple[str, str], body: bytes = b"") -> None:
-        self.answer(slot, make_response(status, slot.request.cseq, *headers, body=body))
+        self.answer(slot, answer(status, slot.request.cseq, *headers, body=body))
 
     def path(self, slot: Slot, request: Request) -> tuple[str, int | None] | None:
         """Path and track of the request's URL; answers 400 itself if it is none."""
--- a/lemonhall/front/viewers/worker.py
+++ b/lemonhall/front/viewers/worker.py
@@ -25,7 +25,7 @@
 from lemonhall.front.viewers import routes
 from lemonhall.front.viewers.session import Ask, Session, State
 from lemonhall.front.viewers.viewer import ViewerConnection
-from lemonhall.interface import Outcome
+from lemonhall.interface import Outcome, Repeat
 from lemonhall.loop import Loop
 from lemonhall.rtsp.messages import make_response
 from lemonhall.seam import (
@@ -166,7 +166,8 @@
         told = ask.carry.tell(self.link)
         if told is Tell.ASKED:
             said = ask.said
-            said.tries, said.ran = ask.carry.tries, ask.carry.ran
+            paid = self.settings.terms.classes[said.cls].repeat is Repeat.PAID
+            said.tries, said.ran = ask.carry.tries, ask.carry.ran and paid
             said.unsent_turn, said.unsent_made = ask.carry.unsent
             if not self.say(said):
                 ask.carry.untell()
--- a/lemonhall/front/workers/build.py
+++ b/lemonhall/front/workers/build.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import hashlib
 from functools import cache
 from pathlib import Path
@@ -9,6 +10,14 @@
 import lemonhall
 
 
+def settle_memory() -> None:
+    """What was loaded is there to stay: the collector of cycles looks at it no more, at the rest less often.
+    Sessions are freed by their counts; few things here are in cycles."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 50)
+
+
 @cache
 def build() -> str:
     """A digest of what settings and messages are made of. Of the files as they are when first asked."""
--- a/lemonhall/front/workers/carrier.py
+++ b/lemonhall/front/workers/carrier.py
@@ -23,7 +23,7 @@
 from lemonhall.front.process.channel import Channel
 from lemonhall.front.servers.listed import BoxList
 from lemonhall.front.viewers.worker import Worker
-from lemonhall.front.workers.build import build
+from lemonhall.front.workers.build import build, settle_memory
 from lemonhall.front.workers.door import Door
 from lemonhall.front.workers.link import Link
 from lemonhall.logs import configure
@@ -62,7 +62,7 @@
         self.link: Link | None = None
         self.told: Counter[str] = Counter()
         self.tries = 0
-        self.mean, self.mean_at = 0.0, float("-inf")
+        self.own, self.mean, self.mean_at = 0, 0.0, float("-inf")
         self.retired = False
         self.alone = False  # no decider speaks with this one: what plays comes to its end
         self.ending = False
@@ -85,8 +85,8 @@
     # viewers
 
     def may_take(self) -> bool:
-        worker = self.worker
-        return worker is not None and may_take(len(worker.viewers), self.mean, self.loop.now() - self.mean_at)
+        told_s_ago = self.loop.now() - self.mean_at
+        return self.worker is not None and may_take(self.own, self.mean, told_s_ago)
 
     def take(self, sock: socket.socket, peer: Any) -> None:
         assert self.worker
@@ -114,7 +114,7 @@
 
     def heard(self, message: Message) -> None:
         if isinstance(message, Ping):
-            self.mean, self.mean_at = message.mean, self.loop.now()
+            self.own, self.mean, self.mean_at = message.own, message.mean, self.loop.now()
             self.door.look() if not self.retired else None
             assert self.link
             self.link.send(Pong(message.at))
@@ -174,6 +174,8 @@
 
     def retire(self, end: bool) -> None:
         """Takes no viewers any more. Ends when what it has has ended, or at once, in order."""
+        if not self.retired:
+            log.info("worker retires", worker=self.number, at_once=end)
         self.retired = True
         self.door.close()
         if self.worker is None:
@@ -210,6 +212,7 @@
     control.heard = carrier.ordered
     control.ended = lambda: carrier.retire(True)  # the parent is gone
     loop.on_signal(signal.SIGTERM, lambda: carrier.retire(True))
+    settle_memory()
     loop.run()
 
 
--- a/lemonhall/front/workers/lines.py
+++ b/lemonhall/front/workers/lines.py
@@ -118,8 +118,10 @@
         return sum(line.viewers for line in lines), sum(line.sessions for line in lines)
 
     def close(self) -> None:
+        """This process goes: what its workers have stays theirs, and is not written of any more."""
         self.loop.watch(self.seam, 0, self.accept)
         for line in list(self.lines.values()):
+            line.link.ended = lambda: None
             if line.link.stream:
                 line.link.stream.close()
 
@@ -175,7 +177,7 @@
         mine = [line for line in self.lines.values() if line.mine]
         mean = sum(line.viewers for line in mine) / max(1, len(mine))
         for line in self.lines.values():
-            line.send(Ping(now, mean))
+            line.send(Ping(now, mean, line.viewers))
         for number in self.pulse.tick(now):
             hello = self.lines[number].hello
             log.error("worker hangs", worker=hello.worker if hello else None)
--- a/lemonhall/front/workers/parent.py
+++ b/lemonhall/front/workers/parent.py
@@ -105,6 +105,7 @@
         self.leaving: dict[int, Child] = {}  # workers that take nothing new, by their number
         self.next_number = 1
         self.taking: set[int] = set()  # numbers of workers that have been seen to take viewers
+        self.die_at = ""  # for tests: where the first decider ends
         self.tree = ""  # the settings that hold, as the decider has them
         self.pulse = Pulse(HUNG_S, TICK_S)
         self.serving = self.ending = self.yielding = False
@@ -141,6 +142,7 @@
         self.host = at if isinstance(at, str) else f"{at[0]}:{at[1]}"
         self.want_spare()
         self.promote()
+        self.resize(self.settings.workers)  # they are ready by the time the decider is
         self.loop.call_later(TICK_S, self.tick)
 
     # the decider
@@ -155,6 +157,8 @@
             given = json.dumps({"control": control, "family": self.family})
             words = ["--log-format", self.log_format, "serve", str(self.path), "--decide", given]
             words += ["--module", self.module] if self.module else []
+            words += ["--die-at", self.die_at] if self.die_at else []
+            self.die_at = ""
             return [sys.executable, "-m", "lemonhall", *words]
 
         return Child(self.loop, command, (), self.decider_says, self.decider_ended)
@@ -163,6 +167,7 @@
         self.pulse.heard(child.process.pid, self.loop.now())
         if "ready" in message and child is self.spare:
             self.spare_ready = True
+            log.info("decider stands by", pid=child.process.pid)
             self.on_spare()
             self.promote()
         if "tree" in message:
@@ -198,7 +203,6 @@
 
     def opened(self) -> None:
         log.info("decider serves", pid=self.decider.process.pid if self.decider else 0, nth=self.deciders)
-        self.resize(self.settings.workers if not self.slots else len(self.slots))
         self.want_spare()
 
     def serve(self) -> None:
@@ -212,9 +216,11 @@
         if child is self.spare:
             self.spare = None
             self.spare_ready = False
+            if self.ending:
+                return
             if self.decider is None:
                 self.give_up_or_wait(child, status)
-            elif not self.ending:
+            else:
                 self.loop.call_later(1.0, self.want_spare)
             return
         self.decider = None
--- a/lemonhall/rtsp/messages.py
+++ b/lemonhall/rtsp/messages.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 VERSION = "RTSP/1.0"
 METHODS = (
@@ -45,23 +46,55 @@
 }
 
 
+# Fields that are met often, so that their names need neither be checked nor made lower each time.
+LOWER = {
+    name: name.lower()
+    for name in (
+        "CSeq",
+        "Session",
+        "Transport",
+        "Content-Length",
+        "Content-Type",
+        "Content-Base",
+        "Range",
+        "RTP-Info",
+        "Require",
+        "User-Agent",
+        "Accept",
+        "Bandwidth",
+        "Via",
+        "Public",
+        "Retry-After",
+        "X-Viewer",
+        "X-Again",
+        "X-Claim",
+        "X-Top-Rung",
+        "endpoint-load-metrics",
+    )
+}
+
+
 class Headers:
     """Header fields in order; names compare without case (RFC 2326, 4.2). A repeated name is kept."""
 
     __slots__ = ("first", "items")
 
-    def __init__(self, items: Iterable[tuple[str, str]] = ()) -> None:
+    def __init__(self, items: Iterable[tuple[str, str]] = (), first: dict[str, str] | None = None) -> None:
         self.items = list(items)
-        self.first: dict[str, str] = {}  # by name in lower case, made when it is asked for
+        self.first = first  # by name in lower case; None: made when it is asked for
 
     def index(self) -> dict[str, str]:
-        if not self.first and self.items:
+        if self.first is None:
+            self.first = {}
             for key, value in self.items:
                 self.first.setdefault(key.lower(), value)
         return self.first
 
     def get(self, name: str, default: str = "") -> str:
-        return self.index().get(name.lower(), default)
+        first = self.first
+        if first is None:
+            first = self.index()
+        return first.get(LOWER.get(name) or name.lower(), default)
 
     def __contains__(self, name: str) -> bool:
         return name.lower() in self.index()
@@ -73,7 +106,7 @@
         if "\r" in value or "\n" in value:
             raise ValueError(f"header {name}: a value cannot hold a line break")
         self.items.append((name, value))
-        self.first = {}
+        self.first = None
 
     def __eq__(self, other: object) -> bool:
         return isinstance(other, Headers) and self.items == other.items
@@ -135,6 +168,29 @@
     return Response(made, body, status)
 
 
+STATUS_LINES = {status: f"{VERSION} {status} {reason}\r\n" for status, reason in REASONS.items()}
+
+
+def written(first: str, cseq: str, headers: Sequence[tuple[str, str]], body: bytes) -> bytes:
+    """A message as bytes, for what is sent and not looked at again. Raises `ValueError` for a line break."""
+    fields = "".join([f"{name}: {value}\r\n" for name, value in headers])
+    if body:
+        fields += f"Content-Length: {len(body)}\r\n"
+    text = f"{first}CSeq: {cseq}\r\n{fields}\r\n"
+    if text.count("\n") != len(headers) + 3 + bool(body) or text.count("\r") != len(headers) + 3 + bool(body):
+        raise ValueError("a header's value cannot hold a line break")
+    return text.encode() + body
+
+
+def answer(status: int, cseq: str, *headers: tuple[str, str], body: bytes = b"") -> bytes:
+    first = STATUS_LINES.get(status) or f"{VERSION} {status} Unknown\r\n"
+    return written(first, cseq, headers, body)
+
+
+def ask(method: str, url: str, cseq: int, *headers: tuple[str, str], body: bytes = b"") -> bytes:
+    return written(f"{method} {url} {VERSION}\r\n", str(cseq), headers, body)
+
+
 @dataclass(frozen=True)
 class Transport:
     """One transport of a Transport header (RFC 2326, 12.39)."""
@@ -158,7 +214,8 @@
         return ";".join(parts)
 
 
-def parse_transport(text: str) -> list[Transport]:
+@lru_cache(maxsize=4096)
+def parse_transport(text: str) -> tuple[Transport, ...]:
     """The transports that a header offers, in its order. Raises `ValueError` on a channel that is none."""
     found = []
     for offer in text.split(","):
@@ -178,7 +235,7 @@
         ssrc = options.get("ssrc", "")
         known = int(ssrc, 16) if re.fullmatch(r"[0-9A-Fa-f]{1,8}", ssrc) else None
         found.append(Transport(first, "multicast" not in options, channels, known))
-    return found
+    return tuple(found)
 
 
 def parse_npt(text: str) -> float | None:
--- a/lemonhall/rtsp/parser.py
+++ b/lemonhall/rtsp/parser.py
@@ -11,11 +11,13 @@
 import struct
 from dataclasses import dataclass
 
-from lemonhall.rtsp.messages import VERSION, Headers, Request, Response
+from lemonhall.rtsp.messages import LOWER, VERSION, Headers, Request, Response
 
 DOLLAR = 0x24
 FRAME_HEADER = 4
 FRAME = struct.Struct(">BBH")
+BREAKS = re.compile(r"[\r\n\0]")
+ONCE = {"content-length", "cseq", "session", "content-type", "content-encoding", "range"}
 TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 STATUS_LINE = re.compile(r"RTSP/(\d+)\.(\d+) (\d{3})(?: (.*))?")
 REQUEST_LINE = re.compile(r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) (\S+) RTSP/(\d+)\.(\d+)")
@@ -196,21 +198,44 @@
         return after
 
     def _headers(self, lines: list[str], events: list[Event]) -> Headers | None:
+        """Fields of a head. What two readers could read in two ways is refused: one that the next reader cuts
+        elsewhere carries another within it (RFC 9112, 11.2)."""
         if len(lines) > self.limits.fields:
             self._fail(events, 400, f"more than {self.limits.fields} header fields")
             return None
-        headers = Headers()
+        items: list[tuple[str, str]] = []
+        first: dict[str, str] = {}
         for line in lines:
-            if line[:1] in (" ", "\t") and headers.items:  # folded (4.2)
-                name, value = headers.items[-1]
-                headers.items[-1] = (name, f"{value} {line.strip()}")
-                continue
             name, colon, value = line.partition(":")
-            if not colon or not TOKEN.fullmatch(name.strip()) or "\r" in value or "\n" in value:
-                self._fail(events, 400, f"{line[:60]!r} is no header field", headers.get("CSeq"))
+            low = LOWER.get(name)
+            if low is None or "\r" in value or "\n" in value or "\0" in value:
+                if line[:1] in (" ", "\t") and items:  # folded (4.2)
+                    name, before = items[-1]
+                    low = name.lower()
+                    if low in ONCE or BREAKS.search(line):
+                        self._fail(events, 400, f"{name} goes on in a folded line", first.get("cseq", ""))
+                        return None
+                    items[-1] = (name, f"{before} {line.strip()}")
+                    if first[low].endswith(before):
+                        first[low] += f" {line.strip()}"
+                    continue
+                if not colon or not TOKEN.fullmatch(name) or BREAKS.search(value):
+                    self._fail(events, 400, f"{line[:60]!r} is no header field", first.get("cseq", ""))
+                    return None
+                low = name.lower()
+            value = value.strip()
+            items.append((name, value))
+            if low not in first:
+                first[low] = value
+            elif low == "transport":  # a list, which may be sent in parts (4.2)
+                first[low] += f",{value}"
+            elif low in ONCE and first[low] != value:
+                self._fail(events, 400, f"{name} twice, with two values", first.get("cseq", ""))
                 return None
-            headers.items.append((name.strip(), value.strip()))
-        return headers
+        if "transfer-encoding" in first:
+            self._fail(events, 400, "Transfer-Encoding, which RTSP has not", first.get("cseq", ""))
+            return None
+        return Headers(items, first)
 
 
 def alike(view: memoryview, at: int, step: int) -> int:
--- a/lemonhall/seam/balance.py
+++ b/lemonhall/seam/balance.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-OVER, SLACK = 0.1, 2.0  # above the mean: part of it, and viewers
+OVER, SLACK = 0.1, 32.0  # above the mean: part of it, and viewers
 
 
 def may_take(own: int, mean: float, told_s_ago: float, stale_s: float = 2.0) -> bool:
-    """Whether a worker with `own` viewers takes another. What was told long ago does not bind: a decider that
-    is gone must not keep viewers out."""
+    """Whether a worker takes another viewer. `own` and `mean` are of one moment, so that one who has taken
+    many since then is not held for too full. What was told long ago does not bind: a decider that is gone
+    must not keep viewers out."""
     return told_s_ago > stale_s or own <= mean * (1 + OVER) + SLACK
--- a/lemonhall/seam/carry.py
+++ b/lemonhall/seam/carry.py
@@ -110,14 +110,14 @@
             return Next.REPORT if self.link and self.link == link else Next.NOTHING
         if self.stage not in (Stage.OUT, Stage.LEFT):
             return Next.NOTHING
-        if self.link and self.link == link:
-            self.stage = Stage.TOLD
-            return Next.REPORT
-        self.stage = Stage.HELD
         if never_ran or not left:
             self.unsent = (self.turn, self.made)
         else:
             self.ran = True
+        if self.link and self.link == link:  # the report may be lost with its decider: what it proves stays
+            self.stage = Stage.TOLD
+            return Next.REPORT
+        self.stage = Stage.HELD
         return Next.AGAIN
 
     def plays(self, link: int) -> Tell:
--- a/lemonhall/seam/codec.py
+++ b/lemonhall/seam/codec.py
@@ -55,16 +55,21 @@
 
 
 def get_bytes(view: memoryview, at: int) -> tuple[bytes, int]:
-    size = SIZE.unpack_from(view, at)[0]
-    at += SIZE.size
-    if at + size > len(view):
+    at += 4
+    end = at + SIZE.unpack_from(view, at - 4)[0]
+    if end > len(view):
         raise ValueError("a field that goes beyond its message")
-    return bytes(view[at : at + size]), at + size
+    return bytes(view[at:end]), end
 
 
 def get_text(view: memoryview, at: int) -> tuple[str, int]:
-    found, at = get_bytes(view, at)
-    return found.decode(), at
+    at += 4
+    end = at + SIZE.unpack_from(view, at - 4)[0]
+    if end == at:
+        return "", at
+    if end > len(view):
+        raise ValueError("a field that goes beyond its message")
+    return str(view[at:end], "utf-8"), end
 
 
 def get_doubles(view: memoryview, at: int) -> tuple[tuple[float, ...], int]:
--- a/lemonhall/seam/messages.py
+++ b/lemonhall/seam/messages.py
@@ -341,12 +341,13 @@
 
 @dataclass(slots=True)
 class Ping(Message):
-    """`mean`: viewers of a worker, over all that take new ones."""
+    """`own`: viewers of this worker, as it told last; `mean`: of one that takes new ones, as of then."""
 
     KIND = 43
-    FORM = "dd"
+    FORM = "ddu"
     at: float
     mean: float
+    own: int
 
 
 @dataclass(slots=True)
--- a/tests/day/rogues/answered_twice.py
+++ b/tests/day/rogues/answered_twice.py
@@ -11,10 +11,10 @@
 answer = ViewerConnection.answer
 
 
-def twice(self: ViewerConnection, slot: Any, response: Any) -> None:
-    answer(self, slot, response)
+def twice(self: ViewerConnection, slot: Any, data: bytes) -> None:
+    answer(self, slot, data)
     if slot.request.method == "PLAY":
-        self.stream.write(response.encode())
+        self.stream.write(data)
 
 
 ViewerConnection.answer = twice  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/front/test_workers.py
@@ -0,0 +1,356 @@
+"""A front with workers, as processes: whoever dies or hangs, at whatever step, the rest goes on."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import urllib.request
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lemonhall.day.children import kin_of
+from lemonhall.rtsp import Request
+from tests.front.site import Site
+from tests.front.world import TERMS, Client, Server
+
+Make = Callable[..., Site]
+SLOW = TERMS.replace("deadline=(ms)1200", "deadline=(ms)6000").replace(
+    "deadline=(ms)1500", "deadline=(ms)6000"
+)
+
+
+@pytest.fixture
+def make(tmp_path: Path) -> Iterator[Make]:
+    made: list[Site] = []
+
+    def build(workers: int = 2, terms: str = SLOW, more: str = "") -> Site:
+        made.append(Site(tmp_path, terms, f"workers={workers} {more}"))
+        return made[-1]
+
+    yield build
+    for each in made:
+        each.close()
+
+
+def stands_by(site: Site) -> None:
+    """Waits until another decider is ready to come."""
+
+    def ready() -> bool:
+        lines = (site.folder / "log-0").read_text()
+        return lines.count('"decider stands by"') > lines.count('"decider serves"')
+
+    site.until(ready)
+
+
+def decider(pid: int) -> int:
+    return kin_of(pid, "--decide")[0]
+
+
+def workers(pid: int) -> list[int]:
+    return kin_of(pid, "workers.carrier")
+
+
+def asked(site: Site, at: tuple[str, int], path: str, claim: str = "") -> tuple[Client, int]:
+    """A viewer that has asked to play, and the number of that request."""
+    client = Client(site.loop, at)
+    more = [("X-Claim", claim)] if claim else []
+    transport = ("Transport", "RTP/AVP/TCP;unicast;interleaved=0-1")
+    cseq = client.send("SETUP", f"{path}/trackID=0", transport, *more)
+    site.until(lambda: client.answers_to(cseq))
+    session = ("Session", client.answers[-1].session)
+    return client, client.send("PLAY", path, session)
+
+
+def set_ups(site: Site) -> int:
+    return sum(box.count("SETUP") for box in site.boxes)
+
+
+def test_sessions_are_spread_over_workers_and_the_pages_tell_of_all(make: Make) -> None:
+    site = make(3, more='status="127.0.0.1:0"')
+    front = site.serve()
+    at = site.started(front)
+    site.playing(at, 12)
+    site.no_gap(site.open())
+    assert len(workers(front.pid)) == 3 and len(kin_of(front.pid, "--decide")) == 2
+    took = [len(os.listdir(f"/proc/{pid}/fd")) for pid in workers(front.pid)]
+    assert min(took) > 0
+    status = next(json.loads(x) for x in (site.folder / "log-0").read_text().splitlines() if "serving" in x)
+    assert status["at"] == f"{at[0]}:{at[1]}"
+    front.terminate()
+    assert site.ended(front) == 0
+    site.until(lambda: not site.open())
+    assert all(c.byes == 1 for c, _ in site.clients)
+
+
+def test_a_decider_that_dies_stops_nothing_that_plays_and_the_next_goes_on(make: Make) -> None:
+    site = make(2)
+    front = site.serve()
+    at = site.started(front)
+    site.playing(at, 6)
+    claim = site.viewer(at, "/claims/first")[2]
+    for round_ in range(3):
+        stands_by(site)
+        os.kill(decider(front.pid), signal.SIGKILL)
+        _, status, _ = site.viewer(at, f"/browse/after-{round_}")
+        assert status == 200
+    assert site.viewer(at, "/claims/first", claim)[1] == 502  # it has run, and that is still known
+    assert len(site.open()) == 10
+    site.no_gap(site.open())
+    front.terminate()
+    assert site.ended(front) == 0
+
+
+@pytest.mark.parametrize("point", ["given", "written", "cleared"])
+def test_a_paid_claim_whose_decider_dies_at_a_point_is_set_up_once_and_answered_once(
+    make: Make, point: str
+) -> None:
+    site = make(1)
+    front = site.serve("--die-at", point)
+    at = site.started(front)
+    stands_by(site)
+    client, cseq = asked(site, at, "/claims/a")
+    site.until(lambda: client.answers_to(cseq))
+    assert client.answers_to(cseq) == [200] and set_ups(site) == 1
+    again = asked(site, at, "/claims/a", client.answers[0].headers.get("X-Claim"))
+    site.until(lambda: again[0].answers_to(again[1]))
+    assert again[0].answers_to(again[1]) == [502] and set_ups(site) == 1
+    client.stream.abort()
+    again[0].stream.abort()
+
+
+def held(site: Site) -> list[tuple[Server, Request]]:
+    """Servers keep the set-ups that come, unanswered."""
+    kept: list[tuple[Server, Request]] = []
+    for box in site.boxes:
+        box.script["SETUP"] = lambda conn, request: kept.append((conn, request))
+    return kept
+
+
+def let(conn: Server, request: Request, status: int = 200) -> None:
+    transport = f"Transport: {request.headers.get('Transport')}"
+    conn.reply(request, status, "Session: s", transport) if status == 200 else conn.reply(request, status)
+
+
+@pytest.mark.parametrize("status", [200, 500])
+def test_a_set_up_that_is_out_when_the_decider_dies_comes_to_its_end(make: Make, status: int) -> None:
+    site = make(1)
+    front = site.serve()
+    at = site.started(front)
+    kept = held(site)
+    stands_by(site)
+    client, cseq = asked(site, at, "/claims/a")
+    site.until(lambda: kept)
+    os.kill(decider(front.pid), signal.SIGKILL)
+    let(*kept[0], status)
+    site.until(lambda: client.answers_to(cseq))
+    assert client.answers_to(cseq) == [200 if status == 200 else 502] and set_ups(site) == 1
+    client.stream.abort()
+
+
+def test_what_provably_did_not_run_is_tried_again_under_the_next_decider(make: Make) -> None:
+    site = make(1)
+    front = site.serve()
+    at = site.started(front)
+    kept = held(site)
+    stands_by(site)
+    client, cseq = asked(site, at, "/claims/a")
+    site.until(lambda: kept)
+    os.kill(decider(front.pid), signal.SIGKILL)
+    for box in site.boxes:
+        box.script.pop("SETUP")
+    let(*kept[0], 503)  # full: it did not run
+    site.until(lambda: client.answers_to(cseq))
+    assert client.answers_to(cseq) == [200] and set_ups(site) == 2
+    client.stream.abort()
+
+
+def test_a_decider_that_does_not_run_leaves_answers_to_the_workers(make: Make) -> None:
+    site = make(2, TERMS)
+    front = site.serve()
+    at = site.started(front)
+    site.playing(at, 4)
+    pid = decider(front.pid)
+    os.kill(pid, signal.SIGSTOP)
+    waiting = [asked(site, at, f"/{kind}/w") for kind in ("browse", "claims", "browse")]
+    site.until(lambda: all(c.answers_to(n) for c, n in waiting))
+    assert {s for c, n in waiting for s in c.answers_to(n)} <= {503, 504}
+    assert [len(c.answers_to(n)) for c, n in waiting] == [1, 1, 1]
+    site.no_gap(site.open())
+    before = set_ups(site)
+    os.kill(pid, signal.SIGCONT)
+    assert site.viewer(at, "/browse/later")[1] == 200
+    assert set_ups(site) == before + 1  # what was answered meanwhile is not set up after all
+    assert decider(front.pid) == pid
+    for client, _ in waiting:
+        client.stream.abort()
+
+
+def test_a_worker_that_dies_takes_its_own_viewers_along_and_comes_again(make: Make) -> None:
+    site = make(2)
+    front = site.serve()
+    at = site.started(front)
+    site.playing(at, 16)
+    gone, stays = workers(front.pid)
+    kept = held(site)
+    client, cseq = asked(site, at, "/claims/a")
+    site.until(lambda: kept)
+    os.kill(gone, signal.SIGKILL)
+    site.until(lambda: len(site.open()) < 16 and len(workers(front.pid)) == 2)
+    assert stays in workers(front.pid) and gone not in workers(front.pid)
+    for box in site.boxes:
+        box.script.pop("SETUP")
+    site.no_gap(site.open())
+    token = client.answers[0].headers.get("X-Claim")
+    if client.stream.open:  # it was the other's: it plays, or runs into its deadline
+        let(*kept[0])
+        site.until(lambda: client.answers_to(cseq))
+        assert len(client.answers_to(cseq)) == 1
+        client.stream.abort()
+    again = asked(site, at, "/claims/a", token)
+    site.until(lambda: again[0].answers_to(again[1]))
+    assert again[0].answers_to(again[1]) == [502]  # it may have run
+    again[0].stream.abort()
+    assert all(site.viewer(at, f"/browse/n{n}")[1] == 200 for n in range(4))
+
+
+def test_a_worker_that_does_not_run_is_ended_and_the_others_go_on(make: Make) -> None:
+    site = make(2)
+    front = site.serve()
+    at = site.started(front)
+    site.playing(at, 8)
+    stopped = workers(front.pid)[0]
+    os.kill(stopped, signal.SIGSTOP)
+    asks = [asked(site, at, f"/browse/s{n}") for n in range(4)]  # whoever runs takes them
+    site.until(lambda: all(c.answers_to(n) == [200] for c, n in asks))
+    site.until(lambda: stopped not in workers(front.pid) and len(workers(front.pid)) == 2)
+    assert site.viewer(at, "/browse/after")[1] == 200
+    for client, _ in asks:
+        client.stream.abort()
+
+
+def test_a_worker_that_wakes_after_its_sessions_were_given_up_answers_them_once(make: Make) -> None:
+    site = make(1, TERMS)
+    front = site.serve()
+    at = site.started(front)
+    kept = held(site)
+    client, cseq = asked(site, at, "/claims/a")
+    site.until(lambda: kept)
+    (pid,) = workers(front.pid)
+    os.kill(pid, signal.SIGSTOP)
+    passed: list[bool] = []
+    site.loop.call_later(3.0, passed.append, True)  # its deadline, and what the decider waits behind it
+    site.until(lambda: passed)
+    os.kill(pid, signal.SIGCONT)
+    site.until(lambda: client.answers_to(cseq))
+    let(*kept[0])
+    assert len(client.answers_to(cseq)) == 1 and client.answers_to(cseq)[0] != 200
+    again = asked(site, at, "/claims/a", client.answers[0].headers.get("X-Claim"))
+    site.until(lambda: again[0].answers_to(again[1]))
+    assert again[0].answers_to(again[1]) == [502] and set_ups(site) == 1
+    client.stream.abort()
+    again[0].stream.abort()
+
+
+def test_more_and_fewer_workers_by_a_reload_and_nothing_that_plays_ends(make: Make) -> None:
+    site = make(2)
+    front = site.serve()
+    at = site.started(front)
+    site.playing(at, 8)
+    for count in (4, 1):
+        site.fields = f"workers={count}"
+        site.write("front.kdl", SLOW)
+        front.send_signal(signal.SIGHUP)
+        site.until(lambda n=count: taking(site) == n)
+        assert site.viewer(at, f"/browse/with-{count}")[1] == 200
+    assert len(site.open()) == 10
+    site.no_gap(site.open())
+    for client in site.open()[:9]:
+        client.stream.abort()
+    site.until(lambda: len(workers(front.pid)) == 1, 20.0)
+    front.terminate()
+    assert site.ended(front) == 0
+
+
+def taking(site: Site) -> int:
+    """Workers that the log has seen to come, less those that were told to go."""
+    lines = [json.loads(x) for x in (site.folder / "log-0").read_text().splitlines() if x.startswith("{")]
+    came = sum(x["event"] == "worker" and x["takes"] for x in lines)
+    return came - sum(x["event"] == "worker retires" for x in lines)
+
+
+def test_a_drain_takes_nothing_new_and_ends_with_the_last_viewer(make: Make) -> None:
+    site = make(2)
+    front = site.serve()
+    at = site.started(front)
+    site.playing(at, 4)
+    client = Client(site.loop, at)
+    site.until(lambda: client.stream.open and not client.stream.connecting)
+    cseq = client.send("OPTIONS", "/")
+    site.until(lambda: client.answers_to(cseq))
+    front.send_signal(signal.SIGUSR1)
+    site.until(lambda: "draining" in (site.folder / "log-0").read_text())
+
+    def refused() -> bool:
+        transport = ("Transport", "RTP/AVP/TCP;unicast;interleaved=0-1")
+        number = client.send("SETUP", "/browse/x/trackID=0", transport)
+        site.until(lambda: client.answers_to(number))
+        return client.answers_to(number) == [503]
+
+    site.until(refused)
+    site.no_gap(site.open())
+    for each in site.open():
+        each.stream.abort()
+    client.stream.abort()
+    assert site.ended(front) == 0
+
+
+@pytest.mark.parametrize("fault", ["", *("yielded", "sent", "unpacked", "owned", "told", "given")])
+def test_a_change_of_guard_moves_no_session_whoever_dies(make: Make, fault: str) -> None:
+    """The old parent dies with what plays there, as a front does; else nothing is lost."""
+    site = make(2)
+    mine = fault in ("yielded", "sent", "given")
+    old = site.serve(*(["--die-at", fault] if fault and mine else []))
+    at = site.started(old)
+    site.playing(at, 6)
+    claim = site.viewer(at, "/claims/first")[2]
+    new = site.serve("--replace", *(["--die-at", fault] if fault and not mine else []))
+    if fault in ("unpacked", "owned", "told"):
+        assert site.ended(new) == 9
+        site.until(lambda: "serving again" in (site.folder / "log-0").read_text())
+        at_last = at
+    else:
+        at_last = site.started(new)
+    if not mine:
+        assert len(site.open()) == 7
+        site.no_gap(site.open())
+    assert at_last[1] == at[1] or mine
+    assert site.viewer(at_last, "/browse/new")[1] == 200
+    assert site.viewer(at_last, "/claims/first", claim)[1] == 502
+    if not fault:
+        for client in site.open():
+            client.stream.abort()
+        assert site.ended(old) == 0
+        new.terminate()
+        assert site.ended(new) == 0
+
+
+def test_a_successor_that_would_be_without_workers_is_refused(make: Make) -> None:
+    site = make(1)
+    front = site.serve()
+    at = site.started(front)
+    site.playing(at, 2)
+    site.fields = "workers=0"
+    site.write("other.kdl", SLOW)
+    new = site.serve("--replace", settings="other.kdl")
+    assert site.ended(new) == 2
+    assert "workers" in (site.folder / "log-1").read_text()
+    site.no_gap(site.open())
+
+
+def page(port: int, path: str) -> Any:
+    with urllib.request.urlopen(f"http://127.0.0.1:{port}{path}", timeout=5) as answer:
+        return answer.read().decode()
--- a/tests/rtsp/test_parser.py
+++ b/tests/rtsp/test_parser.py
@@ -185,7 +185,7 @@
     offers = parse_transport("RTP/AVP;unicast;client_port=1-2, RTP/AVP/TCP;unicast;interleaved=4-5;ssrc=0A")
     assert [o.is_interleaved for o in offers] == [False, True]
     assert offers[1] == Transport("RTP/AVP/TCP", True, (4, 5), 10)
-    assert parse_transport(offers[1].encode()) == [offers[1]]
+    assert parse_transport(offers[1].encode()) == (offers[1],)
     for bad in ("interleaved=x", "interleaved=5-5", "interleaved=255-256"):
         with pytest.raises(ValueError, match="interleaved"):
             parse_transport(f"RTP/AVP/TCP;unicast;{bad}")
@@ -264,3 +264,51 @@
     assert feed(cut(b"".join(frame(*item) for item in items), marks)) == items
     whole = [e for e in Parser().feed(b"".join(frame(0, b"ab") for _ in range(50))) if isinstance(e, Frames)]
     assert [(len(e.data), e.last) for e in whole] == [(300, 294)]
+
+
+# messages that two readers could cut in two places
+
+SMUGGLED = {
+    "two lengths": "Content-Length: 4\r\nContent-Length: 40\r\n",
+    "two lengths, one in other letters": "content-length: 4\r\nContent-LENGTH: 0\r\n",
+    "a length in a folded line": "Content-Length: 4\r\n 0\r\n",
+    "a length that is a list": "Content-Length: 4, 4\r\n",
+    "a signed length": "Content-Length: +4\r\n",
+    "a space before the colon": "Content-Length : 4\r\n",
+    "a tab before the colon": "Content-Length\t: 4\r\n",
+    "a name with a space before it": " Content-Length: 4\r\n",
+    "a length in chunks": "Transfer-Encoding: chunked\r\n",
+    "two CSeq": "CSeq: 2\r\nCSeq: 3\r\n",
+    "two sessions": "Session: a\r\nSession: b\r\n",
+    "a session in a folded line": "Session: a\r\n\tb\r\n",
+    "a line that ends with a line feed alone": "X-A: b\nContent-Length: 4\r\n",
+    "a return in a value": "X-A: b\rContent-Length: 4\r\n",
+    "a zero byte": "X-A: b\0c\r\n",
+    "a name that is none": "X(A): b\r\n",
+    "no colon": "Content-Length\r\n",
+}
+
+
+@pytest.mark.parametrize("lines", SMUGGLED.values(), ids=SMUGGLED.keys())
+@pytest.mark.parametrize("place", ["first", "last"])
+def test_what_could_be_read_in_two_ways_is_refused_and_nothing_behind_it_is_read(
+    lines: str, place: str
+) -> None:
+    own = "" if "CSeq" in lines else "CSeq: 1\r\n"
+    fields = lines + own if place == "first" else own + lines
+    inner = b"SETUP rtsp://x/claims/a RTSP/1.0\r\nCSeq: 9\r\n\r\n"
+    whole = f"GET_PARAMETER rtsp://x/a RTSP/1.0\r\n{fields}\r\n".encode() + inner
+    for pieces in ([whole], [whole[n : n + 1] for n in range(len(whole))]):
+        parser = Parser()
+        events = [event for piece in pieces for event in parser.feed(piece)]
+        assert [type(e) for e in events] == [Malformed] and events[0].status == 400, events
+
+
+def test_what_is_said_twice_alike_and_lists_in_parts_are_read_as_one() -> None:
+    first, second = "RTP/AVP;unicast;client_port=4-5", "RTP/AVP/TCP;unicast;interleaved=2-3"
+    head = "SETUP rtsp://x/a RTSP/1.0\r\nCSeq: 1\r\nCSeq: 1\r\nContent-Length: 0\r\nContent-Length: 0\r\n"
+    text = f"{head}Transport: {first}\r\ntransport: {second}\r\nX-Long: a\r\n b\r\n\r\n"
+    (request,) = Parser().feed(text.encode())
+    assert isinstance(request, Request) and request.cseq == "1" and request.headers.get("X-long") == "a b"
+    offers = parse_transport(request.headers.get("Transport"))
+    assert [o.is_interleaved for o in offers] == [False, True] and offers[1].channels == (2, 3)
