A viewer wakes one worker; deciders follow at once; workers of other programs tested

Cause: each connection woke all workers, and a set-up cost 1.30 ms of processor time at two workers, 1.80 at four, 2.18 at six; ten deaths of a decider within a minute ended the front as a crash loop would.

Change: the listener is watched with EPOLLEXCLUSIVE; a decider that decided for a second makes good for the crashes before it; tests of workers of another version or program, of noise at the seam and of full queues both ways.

--- a/lemonhall/front/process/supervise.py
+++ b/lemonhall/front/process/supervise.py
@@ -24,14 +24,16 @@
 
 
 class Restarts:
-    """How long to wait before the next start. `ran_s`: how long the last run was."""
+    """How long to wait before the next start. `ran_s`: how long the last run was; one of `steady_s` makes
+    good for the crashes before it."""
 
-    def __init__(self) -> None:
+    def __init__(self, steady_s: float = STEADY_S) -> None:
+        self.steady_s = steady_s
         self.crashes = 0
 
     def after(self, ran_s: float) -> float | None:
         """Seconds until the next start; None: give up."""
-        self.crashes = 1 if ran_s >= STEADY_S else self.crashes + 1
+        self.crashes = 1 if ran_s >= self.steady_s else self.crashes + 1
         if self.crashes > CRASHES_MOST:
             return None
         return 0.0 if self.crashes == 1 else min(LONGEST_S, FIRST_S * FACTOR ** (self.crashes - 2))
--- a/lemonhall/front/workers/door.py
+++ b/lemonhall/front/workers/door.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from lemonhall.loop import Loop
-from lemonhall.loop.core import READ
 
 A_TURN = 4  # connections taken in one pass, so that the others have their part of a rush
 CLOSED = (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED)
@@ -25,12 +24,17 @@
         may: Callable[[], bool],
     ) -> None:
         self.loop, self.sock, self.take, self.may = loop, sock, take, may
-        self.wanted = False
+        self.wanted = self.watching = False
         sock.setblocking(False)
 
     def look(self) -> None:
         """Opens or shuts, by what `may` says now."""
-        self.loop.watch(self.sock, READ if self.wanted and self.may() else 0, self.on_ready)
+        open_now = self.wanted and self.may()
+        if open_now and not self.watching:
+            self.loop.watch_alone(self.sock, self.on_ready)
+        elif not open_now:
+            self.loop.watch(self.sock, 0, self.on_ready)
+        self.watching = open_now
 
     def on_ready(self, _: int) -> None:
         for _turn in range(A_TURN):
--- a/lemonhall/front/workers/parent.py
+++ b/lemonhall/front/workers/parent.py
@@ -38,6 +38,7 @@
 HUNG_S = 10.0  # a decider that is silent for so long is ended; the one that stands by takes its place
 STOP_S = 12.0  # after which children are ended that have not ended by themselves
 SWEEP_S = 0.05
+STEADY_S = 1.0  # a decider that has decided for so long is no failed start: the next comes at once
 
 
 class Child:
@@ -99,7 +100,7 @@
         self.decider: Child | None = None
         self.spare: Child | None = None
         self.spare_ready = False
-        self.restarts = Restarts()
+        self.restarts = Restarts(STEADY_S)
         self.waiting: Timer | None = None
         self.slots: list[Slot] = []
         self.leaving: dict[int, Child] = {}  # workers that take nothing new, by their number
--- a/lemonhall/loop/core.py
+++ b/lemonhall/loop/core.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import os
+import select
 import selectors
 import signal
 import socket
@@ -93,6 +94,17 @@
             self.watched[fd] = (events, call)
             self.selector.modify(fd, events, call)
 
+    def watch_alone(self, sock: Any, call: Callback) -> None:
+        """As `watch` for READ, for a socket at which several processes wait: what comes wakes one, not
+        all (epoll_ctl(2), EPOLLEXCLUSIVE). Without epoll it is a plain watch."""
+        fd = sock.fileno()
+        self.watch(sock, READ, call)
+        if isinstance(self.selector, selectors.EpollSelector):
+            same = select.epoll.fromfd(os.dup(self.selector.fileno()))
+            same.unregister(fd)
+            same.register(fd, select.EPOLLIN | select.EPOLLEXCLUSIVE)
+            same.close()
+
     def on_signal(self, number: int, call: Callback) -> None:
         """Calls `call()` on the loop after the signal; only from the main thread (`ValueError` elsewhere)."""
         if self._wake is None:
--- a/lemonhall/seam/codec.py
+++ b/lemonhall/seam/codec.py
@@ -3,10 +3,10 @@
     length  4 bytes, of all that follows    kind  1 byte    block  2 bytes, its size
 
 In the block a field is its value, or how much there is of it: characters of a text, bytes, doubles, pairs.
-Behind it stand all texts as one (4 bytes of size, UTF-8), so that they are read and written in one go, then the
-other fields in their order. All numbers are in network order. What is read is checked: sizes against what is
-there, text for UTF-8. A reader that finds a message broken says so once and reads no more; the link is then to
-be closed.
+Behind it stand all texts as one (4 bytes of size, UTF-8), so that they are read and written in one go, then
+the other fields in their order. All numbers are in network order. What is read is checked: sizes against what
+is there, text for UTF-8. A reader that finds a message broken says so once and reads no more; the link is
+then to be closed.
 """
 
 from __future__ import annotations
--- a/tests/front/test_workers.py
+++ b/tests/front/test_workers.py
@@ -5,17 +5,20 @@
 import json
 import os
 import signal
-import urllib.request
+import socket
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from lemonhall import interface as i
 from lemonhall.day.children import kin_of
+from lemonhall.front.workers.build import build
 from lemonhall.rtsp import Request
+from lemonhall.seam import Configured, Hello, Message, Reader, SetUp, Welcome, encode
 from tests.front.site import Site
-from tests.front.world import TERMS, Client, Server
+from tests.front.world import TERMS, Client, Server, World
 
 Make = Callable[..., Site]
 SLOW = TERMS.replace("deadline=(ms)1200", "deadline=(ms)6000").replace(
@@ -203,6 +206,8 @@
     assert stays in workers(front.pid) and gone not in workers(front.pid)
     for box in site.boxes:
         box.script.pop("SETUP")
+    had = {id(c): len(c.media) for c, _ in site.clients}
+    site.until(lambda: all(not c.stream.open or len(c.media) > had[id(c)] for c, _ in site.clients))
     site.no_gap(site.open())
     token = client.answers[0].headers.get("X-Claim")
     if client.stream.open:  # it was the other's: it plays, or runs into its deadline
@@ -351,6 +356,71 @@
     site.no_gap(site.open())
 
 
-def page(port: int, path: str) -> Any:
-    with urllib.request.urlopen(f"http://127.0.0.1:{port}{path}", timeout=5) as answer:
-        return answer.read().decode()
+def seam_of(pid: int) -> tuple[str, str]:
+    """Where a front's workers find their decider, and the name of their family; as a worker is told."""
+    words = Path(f"/proc/{workers(pid)[0]}/cmdline").read_bytes().split(b"\0")
+    given = json.loads(next(w for w in words if w.startswith(b"{")))
+    return given["seam"], given["family"]
+
+
+def worker_of(path: str, hello: Hello, until: type[Message]) -> list[Any]:
+    """A worker of another program says hello: what it hears up to a kind of message."""
+    heard: list[Any] = []
+    reader = Reader()
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.settimeout(10.0)
+        sock.connect(path)
+        sock.sendall(encode(hello))
+        while not any(isinstance(m, until) for m in heard):
+            heard += reader.feed(sock.recv(1 << 16))
+    return heard
+
+
+def test_a_worker_of_another_version_or_program_plays_on_and_takes_nothing_new(make: Make) -> None:
+    site = make(1)
+    front = site.serve()
+    at = site.started(front)
+    path, family = seam_of(front.pid)
+    later = worker_of(path, Hello(99, 99, 70, 1, family, build()), Welcome)
+    assert [type(m) for m in later] == [Welcome] and later[0].version == 0
+    older = worker_of(path, Hello(1, 1, 71, 1, family, "another program"), Welcome)
+    assert [(m.version, m.mine) for m in older if isinstance(m, Welcome)] == [(1, False)]
+    assert not any(isinstance(m, Configured) for m in older)
+    stranger = worker_of(path, Hello(1, 1, 72, 1, "another parent", build()), Welcome)
+    assert not stranger[-1].mine and not any(isinstance(m, Configured) for m in stranger)
+    assert site.viewer(at, "/browse/a")[1] == 200
+    with socket.socket(socket.AF_UNIX) as sock:  # noise ends its own link and nothing else
+        sock.settimeout(10.0)
+        sock.connect(path)
+        sock.sendall(b"\xff" * 64)
+        assert sock.recv(64) == b""
+    assert site.viewer(at, "/browse/b")[1] == 200
+
+
+def test_an_ask_that_finds_the_queue_full_is_answered_with_a_pause_and_the_module_never_hears(
+    world: Callable[..., World], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    w = world()
+    monkeypatch.setattr("lemonhall.front.process.local.MOST", 0)
+    client, _, cseq = w.play("/browse/a")
+    w.until(lambda: client.answers_to(cseq))
+    assert client.answers_to(cseq) == [503] and client.answers[-1].headers.get("Retry-After") == "2"
+    assert not w.module.told(i.NewSession) and not w.daemon.worker.asks and w.set_ups() == 0
+    monkeypatch.undo()
+    w.playing("/browse/b")
+
+
+def test_a_set_up_that_finds_the_queue_full_never_was_and_the_module_goes_on(
+    world: Callable[..., World], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    w = world()
+    send, full = w.daemon.down.send, [True]
+    monkeypatch.setattr(
+        w.daemon.down, "send", lambda m: False if isinstance(m, SetUp) and full.pop() else send(m)
+    )
+    full += [False, False, True]
+    client, _, cseq = w.play("/browse/a")
+    w.until(lambda: client.answers_to(cseq))
+    assert w.module.told(i.AttemptEnded)[0].outcome == i.Outcome.MOOT
+    assert w.daemon.counts["seam_full"] == 1 and len(client.answers_to(cseq)) == 1
+    assert not w.daemon.asks.book.out or client.answers_to(cseq) == [200]
