Workers take viewers in turn; figures of workers on the page

Cause: woken one at a time in the order in which they wait, the first worker would have taken most viewers; the test of the spread asserted nothing.

Change: whoever has taken viewers goes to the end of those that wait; a worker steps back at a tenth and 8 viewers over the mean. The test counts each worker's sockets and reads the front's page.

Result: 24 viewers over three workers, none with fewer than two; the page tells 24 sessions of all workers.

--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -268,6 +268,8 @@
                 "/capture": self.capture_page,
             }
             self.open_status(status.serve(self.loop, pages), taken.status)
+            told = self.listeners[-1].getsockname()
+            log.info("status", at=told if isinstance(told, str) else f"{told[0]}:{told[1]}")
         if s.peers_listen:
             self.peers = Peers(self.loop, s.peers_listen, s.index, s.peers, self.bridge.tell, taken.peers)
         if s.members:
--- a/lemonhall/front/workers/door.py
+++ b/lemonhall/front/workers/door.py
@@ -37,19 +37,27 @@
         self.watching = open_now
 
     def on_ready(self, _: int) -> None:
-        for _turn in range(A_TURN):
+        for turn in range(A_TURN):
             if not self.may():
                 self.look()
                 return
             try:
                 taken, peer = self.sock.accept()
-            except BlockingIOError:  # another worker was faster
+            except BlockingIOError:  # another worker was faster, or these were all
+                if turn:
+                    self.step_back()
                 return
             except OSError as error:
                 if error.errno not in CLOSED:
                     raise
                 return
             self.take(taken, peer)
+        self.step_back()
+
+    def step_back(self) -> None:
+        """Whoever has taken some goes to the end of those that wait: the kernel wakes them in their order."""
+        if self.watching:
+            self.loop.watch_alone(self.sock, self.on_ready)
 
     def open(self) -> None:
         self.wanted = True
--- a/lemonhall/seam/balance.py
+++ b/lemonhall/seam/balance.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-OVER, SLACK = 0.1, 32.0  # above the mean: part of it, and viewers
+OVER, SLACK = 0.1, 8.0  # above the mean: part of it, and viewers
 
 
 def may_take(own: int, mean: float, told_s_ago: float, stale_s: float = 2.0) -> bool:
--- a/tests/front/test_workers.py
+++ b/tests/front/test_workers.py
@@ -15,6 +15,7 @@
 from lemonhall import interface as i
 from lemonhall.day.children import kin_of
 from lemonhall.front.workers.build import build
+from lemonhall.loop import Handler, Stream
 from lemonhall.rtsp import Request
 from lemonhall.seam import Configured, Hello, Message, Reader, SetUp, Welcome, encode
 from tests.front.site import Site
@@ -57,6 +58,35 @@
     return kin_of(pid, "workers.carrier")
 
 
+def sockets(pid: int) -> int:
+    fds = Path(f"/proc/{pid}/fd")
+    return sum("socket:" in os.readlink(fd) for fd in fds.iterdir())
+
+
+class Page(Handler):
+    """What the status address tells of /metrics, up to its end."""
+
+    def __init__(self, site: Site, port: str) -> None:
+        self.text, self.over = b"", False
+        self.stream = Stream.connect(site.loop, ("127.0.0.1", int(port.rpartition(":")[2])), self, 5.0)
+
+    def connected(self) -> None:
+        self.stream.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+
+    def data(self, view: memoryview) -> None:
+        self.text += view
+
+    def closed(self, reason: str) -> None:
+        self.over = True
+
+
+def page(site: Site, port: str) -> str:
+    asked_for = Page(site, port)
+    while not asked_for.over:
+        site.loop.run_once()
+    return asked_for.text.decode()
+
+
 def asked(site: Site, at: tuple[str, int], path: str, claim: str = "") -> tuple[Client, int]:
     """A viewer that has asked to play, and the number of that request."""
     client = Client(site.loop, at)
@@ -76,13 +106,16 @@
     site = make(3, more='status="127.0.0.1:0"')
     front = site.serve()
     at = site.started(front)
-    site.playing(at, 12)
+    before = [sockets(pid) for pid in workers(front.pid)]
+    site.playing(at, 24)
     site.no_gap(site.open())
     assert len(workers(front.pid)) == 3 and len(kin_of(front.pid, "--decide")) == 2
-    took = [len(os.listdir(f"/proc/{pid}/fd")) for pid in workers(front.pid)]
-    assert min(took) > 0
-    status = next(json.loads(x) for x in (site.folder / "log-0").read_text().splitlines() if "serving" in x)
-    assert status["at"] == f"{at[0]}:{at[1]}"
+    took = [sockets(pid) - had for pid, had in zip(workers(front.pid), before, strict=True)]
+    assert sum(took) == 48 and min(took) >= 4  # two a session: its viewer's and its server's
+    lines = [json.loads(x) for x in (site.folder / "log-0").read_text().splitlines() if x.startswith("{")]
+    port = next(x["at"] for x in lines if x["event"] == "status")
+    site.until(lambda: 'what="sessions"} 24.0' in page(site, port))
+    assert 'lemonhall_events_total{event="played"} 24.0' in page(site, port)
     front.terminate()
     assert site.ended(front) == 0
     site.until(lambda: not site.open())
--- a/tests/seam/test_watch.py
+++ b/tests/seam/test_watch.py
@@ -26,7 +26,7 @@
 
 
 def test_one_far_over_the_mean_steps_back_until_nobody_says_what_the_mean_is() -> None:
-    assert may_take(100, 100.0, 0.1) and may_take(140, 100.0, 0.1)
+    assert may_take(100, 100.0, 0.1) and may_take(117, 100.0, 0.1)
     assert not may_take(200, 100.0, 0.1)
     assert may_take(200, 100.0, 10.0)
     assert may_take(5, 0.0, 0.1)  # a few are no lot
