--- a/lemonhall/day/runner.py
+++ b/lemonhall/day/runner.py
@@ -38,7 +38,7 @@
 def free_port() -> tuple[socket.socket, int]:
     """A port that is held (bound, not listening) so that a front that shares it can come and go.
 
-    The kernel may give a port that is shared to another who would share it as well, so it is asked for one that
+    The kernel may give a port that is shared to another who would share it too, so it is asked for one that
     is nobody's first; days that are played at the same time ask one after another.
     """
     with open(Path(tempfile.gettempdir()) / f"lemonhall-ports-{os.getuid()}", "a") as turn:
