--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -268,8 +268,6 @@
                 "/capture": self.capture_page,
             }
             self.open_status(status.serve(self.loop, pages), taken.status)
-            told = self.listeners[-1].getsockname()
-            log.info("status", at=told if isinstance(told, str) else f"{told[0]}:{told[1]}")
         if s.peers_listen:
             self.peers = Peers(self.loop, s.peers_listen, s.index, s.peers, self.bridge.tell, taken.peers)
         if s.members:
@@ -308,7 +306,9 @@
         if s.limits.memory:
             self.worker.watch_memory()
         self.look_back()
-        log.info("serving", at=self.host, front=s.name, index=s.index, fronts=s.fronts)
+        pages_at = self.listeners[1].getsockname() if len(self.listeners) > 1 else ""
+        shown = pages_at if isinstance(pages_at, str) else f"{pages_at[0]}:{pages_at[1]}"
+        log.info("serving", at=self.host, front=s.name, index=s.index, fronts=s.fronts, status=shown)
         return (at, 0) if isinstance(at, str) else (at[0], at[1])
 
     def open_guard(self) -> None:
