--- a/tests/seam/test_machines.py
+++ b/tests/seam/test_machines.py
@@ -414,7 +414,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_nor_does_any_walk_with_more_crashes_cuts_and_a_viewer_that_comes_again(seed: int) -> None:
-    kinds = wander(lambda: World(3, 2, True, overlap=seed % 2 == 0), 600, seed)
+    kinds = wander(lambda: World(3, 2, True, overlap=seed % 2 == 0), 1500, seed)
     assert {"crash", "kill", "cut", "disk", "send", "plays", "reset", "deadline"} <= kinds
 
 
