--- a/lemonhall/audit/trace.py
+++ b/lemonhall/audit/trace.py
@@ -37,6 +37,7 @@
     left_at: float = inf  # vanished or gave up: from here nobody can see an answer
     vanished: bool = False
     closed_at: float = inf
+    cut: bool = False  # it was the front's end that closed
 
 
 @dataclass
@@ -68,6 +69,7 @@
         default_factory=dict
     )  # at, who had sessions
     kills: list[tuple[float, float, str]] = field(default_factory=list)  # from, to, front
+    worker_kills: list[tuple[float, str]] = field(default_factory=list)  # at, front
     faults: dict[str, int] = field(default_factory=dict)
 
     def by_token(self) -> dict[str, list[Attempt]]:
@@ -126,6 +128,8 @@
             self.trace.kills.append((at, r["t"], front))
         elif r["what"] == "fault":
             self.trace.faults[r["kind"]] = self.trace.faults.get(r["kind"], 0) + 1
+            if r["kind"] == "worker-killed":
+                self.trace.worker_kills.append((r["t"], r["target"]))
 
     def viewer(self, r: Record) -> None:
         conn, what = r["conn"], r["what"]
@@ -155,6 +159,7 @@
             ask.vanished |= what == "vanished"
         elif what == "close":
             ask.closed_at = r["t"]
+            ask.cut = r["reason"] != "local"
 
     def box(self, box: str, r: Record) -> None:
         what, conn = r["what"], r["conn"]
--- a/lemonhall/cli/serve.py
+++ b/lemonhall/cli/serve.py
@@ -150,7 +150,14 @@
         if "leave" in message:
             daemon.leave()
 
-    channel = Channel(daemon.loop, control, heard, daemon.leave)  # without its parent it goes
+    def orphaned() -> None:
+        """Without its parent it goes, whatever fails on the way."""
+        try:
+            daemon.leave()
+        finally:
+            daemon.loop.stop()
+
+    channel = Channel(daemon.loop, control, heard, orphaned)
     daemon.workers = Lines(daemon, sockets["seam"], given["family"], channel.send)
     daemon.taken = Taken(viewers=sockets["viewers"], status=sockets.get("status"))
 
@@ -162,7 +169,8 @@
     keep(daemon.tree)
     channel.send({"open": True})
     settle_memory()
-    run(daemon)
+    if channel.open:  # else its parent ended while it came up
+        run(daemon)
 
 
 def run(daemon: Daemon) -> None:
--- a/lemonhall/front/viewers/worker.py
+++ b/lemonhall/front/viewers/worker.py
@@ -184,10 +184,9 @@
         self.say(Carried(*told, encode(ask.said), ask.memo))
 
     def no_room(self, ask: Ask) -> None:
-        """Too much waits for the decider: this one is answered here, with a pause."""
+        """Too much waits for the decider: this one is answered here."""
         self.counts["seam_full"] += 1
-        self.finish(ask)
-        ask.session.refused(BUSY_PAUSE_MS)
+        self.answer_alone(ask)
 
     def stored(self, message: Stored) -> None:
         self.store_failing, self.pruned_s = message.failing, message.pruned_s
@@ -309,10 +308,16 @@
         """Nobody has decided in time. The viewer is answered all the same."""
         if ask.answered:
             return
-        known = self.finish(ask)
         self.counts["answered_alone"] += 1
+        self.answer_alone(ask)
+
+    def answer_alone(self, ask: Ask) -> None:
+        """With a pause if it is certain that nothing of it ran; else it has failed, as far as one can say."""
+        maybe_ran = ask.carry.may_have_run()
+        known = self.finish(ask)
         if known:
             self.say(Lapsed(ask.number))
+        if known or maybe_ran:
             ask.session.failed(504)
         else:
             ask.session.refused(BUSY_PAUSE_MS)
--- a/lemonhall/seam/carry.py
+++ b/lemonhall/seam/carry.py
@@ -129,6 +129,10 @@
             return Tell.ASKED  # it knows: the usual word is enough
         return self.tell(link) if link else Tell.NOTHING
 
+    def may_have_run(self) -> bool:
+        """Whether the viewer must not be told that nothing ran: asked before `close`."""
+        return self.ran or self.stage in (Stage.LEFT, Stage.PLAYING)
+
     def close(self, link: int) -> bool:
         """The ask is over. Whether the decider of this link knows of it, and so must hear of its end."""
         known = bool(link) and self.link == link and self.stage not in (Stage.HELD, Stage.OVER)
--- a/tests/audit/test_rules.py
+++ b/tests/audit/test_rules.py
@@ -166,6 +166,21 @@
     assert len(CHECKS["unanswered"](made, terms)) == 1
 
 
+def test_a_worker_that_was_killed_owes_what_ended_with_it_and_nothing_else(terms: Terms) -> None:
+    made = trace([ask(answers=[], closed_at=1300.0, cut=True)], [])
+    for kills, owed in (
+        ([(1200.0, "f0")], 0),
+        ([(1200.0, "f1")], 1),  # another front's
+        ([(900.0, "f0")], 1),  # closed long after it
+        ([(1301.0, "f0")], 1),  # and before it
+    ):
+        made.worker_kills = kills
+        assert len(CHECKS["unanswered"](made, terms)) == owed
+    made.worker_kills = [(1200.0, "f0")]
+    made.asks["1.1"].cut = False
+    assert len(CHECKS["unanswered"](made, terms)) == 1
+
+
 def test_who_could_not_know_pushes_nobody_over(terms: Terms) -> None:
     made = clean()
     fault_cold(made)
