--- a/lemonhall/audit/rules.py
+++ b/lemonhall/audit/rules.py
@@ -309,6 +309,7 @@
     seconds: float = 0.0
     trace: Trace | None = None  # what it was made of
     began_ms: float = 0.0  # of the trace's clock: when viewers began to come
+    halls: dict[str, float] = field(default_factory=dict)  # what spilled, where halls may (audit/halls.py)
 
     @property
     def rules_broken(self) -> int:
@@ -322,6 +323,7 @@
             "refused": self.refused,
             "failed": self.failed,
             **counts,
+            **self.halls,
             "rules_broken": self.rules_broken,
             "service": round(self.service, 4),
             "faults": self.faults,
--- a/lemonhall/audit/trace.py
+++ b/lemonhall/audit/trace.py
@@ -69,6 +69,8 @@
         default_factory=dict
     )  # at, who had sessions
     kills: list[tuple[float, float, str]] = field(default_factory=list)  # from, to, front
+    hall_faults: list[tuple[float, str, str]] = field(default_factory=list)  # at, kind, hall
+    tipped: list[tuple[float, str]] = field(default_factory=list)  # at, box that was pushed over
     worker_kills: list[tuple[float, str]] = field(default_factory=list)  # at, front
     faults: dict[str, int] = field(default_factory=dict)
 
@@ -130,6 +132,8 @@
             self.trace.faults[r["kind"]] = self.trace.faults.get(r["kind"], 0) + 1
             if r["kind"] == "worker-killed":
                 self.trace.worker_kills.append((r["t"], r["target"]))
+            if r["kind"] in ("hall-dark", "hall-flap"):
+                self.trace.hall_faults.append((r["t"], r["kind"], r["target"]))
 
     def viewer(self, r: Record) -> None:
         conn, what = r["conn"], r["what"]
@@ -170,6 +174,8 @@
             there = [a for (at, _), some in self.open.items() if at == box for a in some]
             witnesses = {a.front for a in there if a.end > r["t"]}
             self.trace.deaths[box, r["life"]] = (r["t"], witnesses)
+            if r.get("why") == "tipped":
+                self.trace.tipped.append((r["t"], box))
         elif what == "request":
             self.box_request(box, conn, r)
         elif what == "response":
--- a/lemonhall/cli/day.py
+++ b/lemonhall/cli/day.py
@@ -26,6 +26,13 @@
     click.echo(f"  played {report.played}, refused {report.refused}, failed {report.failed}")
     click.echo(f"  service {report.service:.3f} (worth in time over worth asked; stand-ins, not machines)")
     click.echo(f"  faults  {', '.join(f'{k} {n}' for k, n in sorted(report.faults.items())) or 'none'}")
+    if report.halls:
+        h = report.halls
+        click.echo(
+            f"  halls   spilled {100 * h['spilled_most']:.3g}% of links "
+            f"of {100 * h['spilled_allowed']:.3g}% allowed, {h['returned_pushed_over']:g} pushed over "
+            f"on return, recovered in {h['recovered_s']:g} s"
+        )
     click.echo("  rules")
     for rule, checks in RULES.items():
         counts = ", ".join(f"{check} {len(report.broken[check])}" for check in checks)
--- a/lemonhall/cli/serve.py
+++ b/lemonhall/cli/serve.py
@@ -7,6 +7,7 @@
 
 import base64
 import json
+import os
 import pickle
 import signal
 import socket
@@ -33,6 +34,8 @@
 from lemonhall.problem import BadInput
 
 CRASHED = 3
+DEAF = "LEMONHALL_DEAF"  # for days: a folder of files that say whom a front does not hear
+DEAF_EVERY_S = 0.1
 
 
 @click.command()
@@ -182,6 +185,8 @@
     }.items():
         daemon.loop.on_signal(number, act)
     daemon.hooks.on_load = lambda fine: say({"hooks": fine})
+    if folder := os.environ.get(DEAF):
+        hear_less(daemon, Path(folder) / f"{daemon.settings.name}.deaf")
     try:
         daemon.loop.run()
     except Exception as error:
@@ -190,6 +195,13 @@
     daemon.loop.close()
 
 
+def hear_less(daemon: Daemon, path: Path) -> None:
+    """For days: while the file is there, nothing is heard from the members' ports that it names."""
+    if daemon.membership:
+        daemon.membership.deaf_to = {int(w) for w in path.read_text().split()} if path.exists() else set()
+    daemon.loop.call_later(DEAF_EVERY_S, hear_less, daemon, path)
+
+
 def opened(daemon: Daemon, settings: Path) -> None:
     try:
         daemon.open()
--- a/lemonhall/config/meaning.py
+++ b/lemonhall/config/meaning.py
@@ -15,7 +15,13 @@
 from lemonhall.config.settings import routes_of
 from lemonhall.config.units import show
 
-ORDERED = ("route", "rung", "script", "folder")  # order is meaning; keys of the others tell them apart
+ORDERED = (
+    "route",
+    "rung",
+    "script",
+    "folder",
+    "spill",
+)  # order is meaning; keys of the others tell them apart
 
 
 @dataclass(frozen=True)
@@ -61,6 +67,12 @@
     ("attempts", "share"): (rises, "more further attempts"),
     ("reports", "full-from"): (rises, "servers are filled further"),
     ("partner", "quota"): (falls, "more of its sessions count as over their share"),
+    ("spill", "share"): (rises, "more of that hall's links may be taken by another's sessions"),
+    ("spill", "overflow"): (lambda a, b: bool(b), "its neighbour is asked without a loss"),
+    ("takes-in", "links"): (lambda a, b: b == 0 or 0 < a < b, "it may be asked for more"),
+    ("takes-in", "set-ups"): (lambda a, b: b == 0 or 0 < a < b, "it may be asked for more"),
+    ("spilling", "ramp"): (falls, "servers that return are sent more at once"),
+    ("class", "spills"): (lambda a, b: not b, "its sessions are refused when their hall is lost"),
     ("limits", "memory"): (lambda a, b: b == 0, "no limit is left"),
 }
 GONE = {
@@ -68,6 +80,8 @@
     "route": "requests that it took go elsewhere",
     "partner": "its quota is gone",
     "limits": "limits go back to what is usual",
+    "spill": "sessions are refused that could play there",
+    "takes-in": "the hall's own limit is gone",
     "drain": "the grace goes back to what is usual",
 }
 
@@ -82,6 +96,8 @@
         return ("route", node.name, node["header"], hosts, patterns, node["exact"], node["goes-on"])
     if node.spec.times in ("one", "maybe"):
         return (node.spec.name,)
+    if node.spec.name == "spill":
+        return ("spill", node.name, node["to"])
     if node.spec.name == "rung":
         return (node.spec.name, count)
     return (node.spec.name, *node.args, *node.rest)
@@ -105,6 +121,8 @@
         words = [f" with {rest[1]}" if rest[1] else "", f" for {rest[2]}" if rest[2] else ""]
         words += [f" matching {rest[3]}" if rest[3] else "", " alone" if rest[4] else ""]
         return f"route {rest[0]}" + "".join(words)
+    if name == "spill":
+        return f"spill of {rest[0]} to {rest[1]}"
     if rest and name in ("class", "partner", "kind", "pool", "front", "box", "mix", "script", "folder"):
         return f"{name} {rest[0]}"
     return " ".join([str(name), *(str(r) for r in rest)])
--- a/lemonhall/config/rules.py
+++ b/lemonhall/config/rules.py
@@ -44,6 +44,7 @@
             self.days,
             self.quotas,
             self.faults,
+            self.spills,
         ):
             check()
         return self.problems
@@ -245,7 +246,8 @@
         partners = [p.name for p in self.all("partner")]
         targets = {"uplink": racks, "front-killed": fronts, "surge": partners, "list-lag": []}
         parts = [f"{who}-{what}" for who in ("decider", "worker") for what in ("killed", "stopped")]
-        targets |= dict.fromkeys(["front-relieved", *parts], fronts)
+        targets |= dict.fromkeys(["front-relieved", "fronts-apart", *parts], fronts)
+        targets |= dict.fromkeys(["hall-dark", "hall-flap"], self.halls)
         for fault in self.all("fault"):
             if fault.name in ("hooks", "reload"):
                 folder = Path(fault.node.spot.file).resolve().parent
@@ -261,6 +263,34 @@
             if not fault.rest and fault.name != "list-lag":
                 self.say(fault, "", "names nothing that it befalls", FAULTS[fault.name])
 
+    def spills(self) -> None:
+        """Tiers that lead nowhere, or ask for more than a hall has."""
+        into: dict[str, float] = {}
+        pairs: set[tuple[str, str]] = set()
+        intakes = {t.name: t for t in self.all("takes-in")}
+        for tier in self.all("spill"):
+            to, share = tier["to"], tier["share"]
+            if to == tier.name:
+                self.say(tier, "to", "a circle: sessions of a hall cannot spill into it", "name another hall")
+            if (tier.name, to) in pairs:
+                self.say(tier, "to", f'"{to}" is a tier of "{tier.name}" already', "one tier a pair of halls")
+            pairs.add((tier.name, to))
+            into[to] = into.get(to, 0.0) + share
+            if into[to] > 1 + EPS:
+                what = f'with those before, tiers take {100 * into[to]:.4g}% of the links of "{to}"'
+                self.say(tier, "share", what, "lower one: they stay within 100%")
+            limit = intakes[to]["links"] if to in intakes else 0.0
+            if limit and share > limit + EPS:
+                what = f'{100 * share:.4g}% lie over what "{to}" takes in, {100 * limit:.4g}%'
+                self.say(tier, "share", what, "it could never be used")
+        if pairs and not any(c["spills"] for c in self.all("class")):
+            self.say(self.all("spill")[0], "", "no class may spill", "write spills=#true at one")
+        for intake in self.all("takes-in"):
+            if intake.name not in into:
+                self.say(intake, "", "no tier leads there", f'write spill "..." to="{intake.name}"')
+        if self.all("spilling") and not pairs:
+            self.say(self.all("spilling")[0], "", "nothing may spill", 'write spill "..." to="..."')
+
 
 def check(typed: list[Typed], file: str) -> list[Problem]:
     """All that is wrong with a tree whose values are each right."""
--- a/lemonhall/config/settings.py
+++ b/lemonhall/config/settings.py
@@ -19,6 +19,34 @@
 REPEATS = {"safe": i.Repeat.SAFE, "keyed": i.Repeat.KEYED, "paid": i.Repeat.PAID}
 
 
+@dataclass(frozen=True)
+class SpillTier:
+    """Sessions of `hall` may take `share` of the links of `to`; tiers of one hall stand in their order."""
+
+    hall: int
+    to: int
+    share: float
+    overflow: bool = False
+
+
+@dataclass(frozen=True)
+class TakesIn:
+    """What a hall takes in of all others: part of its links, set-ups a second; 0: no limit."""
+
+    hall: int
+    links: float
+    per_s: float
+
+
+@dataclass(frozen=True)
+class SpillTimes:
+    notice_ms: float = 3000.0
+    trial_ms: float = 2000.0
+    ramp_ms: float = 30_000.0
+    slowest: float = 8.0
+    forget_ms: float = 300_000.0
+
+
 @dataclass(frozen=True)
 class Terms:
     """What holds for the service as a whole; the same for fronts, stand-ins, the model and the audit."""
@@ -60,6 +88,10 @@
     switch_cost_s: float
     may_probe: bool
     may_tell_peers: bool
+    spills: tuple[SpillTier, ...] = ()
+    takes_in: tuple[TakesIn, ...] = ()
+    spilling: SpillTimes = SpillTimes()
+    no_spill: frozenset[int] = frozenset()  # classes whose sessions stay in their hall
 
 
 @dataclass(frozen=True)
@@ -349,6 +381,17 @@
         switch_cost_s=value("costs", "switch"),
         may_probe=value("allow", "probe"),
         may_tell_peers=value("allow", "peers"),
+        spills=tuple(
+            SpillTier(names["hall"].index(s.name), names["hall"].index(s["to"]), s["share"], s["overflow"])
+            for s in top(typed, "spill")
+        ),
+        takes_in=tuple(
+            TakesIn(names["hall"].index(t.name), t["links"], t["set-ups"]) for t in top(typed, "takes-in")
+        ),
+        spilling=SpillTimes(
+            *(value("spilling", name) for name in ("notice", "trial", "ramp", "slowest", "forget"))
+        ),
+        no_spill=frozenset(n for n, c in enumerate(top(typed, "class")) if not c["spills"]),
     )
 
 
--- a/lemonhall/day/children.py
+++ b/lemonhall/day/children.py
@@ -29,13 +29,20 @@
 
 class Child:
     def __init__(
-        self, loop: Loop, name: str, command: list[str], log: Path, said: Said, ended: Callable[[int], None]
+        self,
+        loop: Loop,
+        name: str,
+        command: list[str],
+        log: Path,
+        said: Said,
+        ended: Callable[[int], None],
+        env: dict[str, str] | None = None,
     ) -> None:
         self.loop, self.name, self.said = loop, name, said
         self.kept = bytearray()
         with open(log, "ab") as file:
             self.process = subprocess.Popen(
-                command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=file, bufsize=0
+                command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=file, bufsize=0, env=env
             )
         self.alive = True
         self.on_end = ended
--- a/lemonhall/day/runner.py
+++ b/lemonhall/day/runner.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from lemonhall.audit import Report, audit, read_taps
+from lemonhall.audit.halls import of_halls
 from lemonhall.audit.trace import Reader
 from lemonhall.config.day import Day, FaultSpec, read_day
 from lemonhall.day.children import Child
@@ -85,6 +86,7 @@
         self.member_ports: dict[str, int] = {}
         self.held: list[socket.socket] = []
         self.serving: set[str] = set()
+        self.apart: set[str] = set()  # fronts that hear none of the others
         self.down: set[str] = set()  # fronts that were killed and are not back
         self.done = self.ending = False
         self.old: list[Child] = []  # processes that were relieved
@@ -103,7 +105,13 @@
         log = self.folder / f"{name}.log"
         command = [sys.executable, "-m", "lemonhall", *words]
         self.children[name] = Child(
-            self.loop, name, command, log, partial(self.said, name), partial(self.ended, name)
+            self.loop,
+            name,
+            command,
+            log,
+            partial(self.said, name),
+            partial(self.ended, name),
+            {**os.environ, "LEMONHALL_DEAF": str(self.folder)},
         )
         return self.children[name]
 
@@ -290,6 +298,33 @@
             self.list_says(self.lives[box], ServerState.DRAINING)
         self.loop.call_later(after_s, self.replace, box)
 
+    def on_hall_dark(self, fault: FaultSpec, hall: str, after_s: float) -> None:
+        for box in self.day.boxes:
+            if self.day.terms.halls[box.hall] == hall:
+                self.on_crash(fault, box.name, after_s)
+
+    def on_hall_flap(self, fault: FaultSpec, hall: str, after_s: float) -> None:
+        self.on_hall_dark(fault, hall, after_s)
+        self.loop.call_later(after_s + fault.by_ms / 1000, self.on_hall_dark, fault, hall, after_s)
+
+    def on_fronts_apart(self, fault: FaultSpec, front: str, after_s: float) -> None:
+        """Each side is told not to hear the other's ports."""
+        self.apart.add(front)
+        self.tell_apart()
+        self.loop.call_later(after_s, self.together, front)
+
+    def together(self, front: str) -> None:
+        self.apart.discard(front)
+        self.tell_apart()
+
+    def tell_apart(self) -> None:
+        for name in self.member_ports:
+            others = [p for n, p in self.member_ports.items() if (n in self.apart) != (name in self.apart)]
+            path = self.folder / f"{name}.deaf"
+            part = path.with_suffix(".part")
+            part.write_text(" ".join(map(str, others)))
+            part.replace(path)
+
     def on_uplink(self, fault: FaultSpec, rack: str, after_s: float) -> None:
         child = self.children[f"rack-{rack}"]
         child.tell(do="uplink", part=fault.part)
@@ -398,6 +433,8 @@
         report = audit(Reader().read(records), self.day.terms)
         report.began_ms = next((r["t"] for r in records if r["who"] == "day" and r["what"] == "go"), 0.0)
         report.seconds = time.monotonic() - began
+        spilled = of_halls(report.trace, self.day) if report.trace else None
+        report.halls = spilled.to_json() if spilled else {}
         return report
 
     def set_out(self) -> None:
--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -514,6 +514,10 @@
         if s.told.cells < cells:
             row = [(s.told.first_cell + n) % cells for n in range(s.told.cells)]
             holders = [b for cell in row for b in self.by_cell.get(cell, ())]
+        if s.advice.bars:
+            holders = [b for b in holders if b.told.zone not in s.advice.bars]
+            if not holders:
+                self.tell(s, None, i.Because.OUTSIDE, len(self.order))
         good: list[Box] = []
         aside: list[Box] = []  # by advice
         spare: list[Box] = []  # known full, or for a paid session not known to serve
--- a/lemonhall/front/deciding/asks.py
+++ b/lemonhall/front/deciding/asks.py
@@ -22,6 +22,7 @@
 from lemonhall.config.settings import FrontSettings
 from lemonhall.front.deciding.bridge import Bridge
 from lemonhall.front.deciding.claims import Claims
+from lemonhall.front.deciding.halls import HallsDesk
 from lemonhall.front.deciding.hooks import Hooks
 from lemonhall.front.deciding.pooling import Pools
 from lemonhall.front.keeping.keeper import Keeper
@@ -88,7 +89,7 @@
 
 def advice_of(packed: dict[str, Any]) -> i.Advice:
     pairs = {n: tuple((str(a), int(b)) for a, b in packed[n]) for n in ("prefer", "avoid")}
-    return i.Advice(**{**packed, **pairs})
+    return i.Advice(**{**packed, **pairs, "bars": tuple(int(n) for n in packed.get("bars", ()))})
 
 
 def remembered(memo: bytes) -> tuple[int, i.Advice, str]:
@@ -120,6 +121,7 @@
         self.recorder: Recorder | None = None
         self.keeper: Keeper | None = None
         self.claims = Claims(loop, None, None)
+        self.halls: HallsDesk | None = None
         self.pools = Pools(settings, self.held_at, self.counts, Random(random.random()))
         self.hear: dict[type[Message], Callable[[Line, Any], object]] = {
             Asked: self.asked,
@@ -197,6 +199,8 @@
         prefer = said.prefer + self.pools.wish(said.pool, said.key or said.viewer_name)
         if prefer:  # the route's pool; what a hook says comes first
             ask.advice = merge(i.Advice(prefer=prefer), ruling.advice)
+        if self.halls:
+            ask.advice = merge(self.halls.ask(ask.number, ask.cls, said.first_cell, said.cells), ask.advice)
         if verdict is Verdict.UNKNOWN:
             ask.advice = merge(ask.advice, i.Advice(refuse=True))
         ask.told = self.new_session(ask, left_ms, verdict is Verdict.RAN)
@@ -227,6 +231,8 @@
         ask.answered, ask.since = True, self.loop.now()
         self.counts["played"] += 1
         self.on_took(word.took_ms)
+        if self.halls:
+            self.halls.playing(ask.number, word.server)
         if self.keeper:
             said = ask.said
             self.keeper.playing(said.session, said.claim, said.path, said.cls, word.server)
@@ -248,6 +254,8 @@
 
     def note(self, ask: int, attempt: int, server: int, kind: int, value: float) -> None:
         self.bridge.tell(i.Note(ask, attempt, server, kind, value))
+        if self.halls:
+            self.halls.seen(server, Outcome.OK)
         if kind == i.NoteKind.LINK:
             self.hooks.hear(server, value)
 
@@ -268,6 +276,8 @@
             return
         outcome = Outcome(word.outcome)
         self.settle(out, word.left and outcome not in NEVER_RAN)
+        if self.halls:
+            self.halls.seen(word.server, outcome)
         ask = self.open.get(word.ask)
         if ask is None or ask.out is not out:
             return
@@ -332,6 +342,8 @@
             if word.made and (claim := Token.parse(said.claim)):
                 self.holds[word.ask, 0] = Hold(claim, word.turn, 0)
         self.counts["carried"] += 1
+        if self.halls:
+            self.halls.carried(word.ask, ask.cls, word.rung, word.server)
         self.bridge.tell(i.HandedOver(ask.told, word.server))
         self.bridge.tell(i.Note(word.ask, 0, word.server, i.NoteKind.RUNG, float(word.rung)))
 
@@ -343,6 +355,8 @@
         told = {out.ask: out for out, _ in ends}
         for number in asks:
             ask = self.open.pop(number)
+            if self.halls:
+                self.halls.over(number)
             if ask.hold and self.keeper:
                 self.keeper.ledger.over(ask.hold)
             if ask.answered and self.keeper:
@@ -376,6 +390,8 @@
             self.keeper.ledger.over(ask.hold)
         self.book.drop(ask.number)
         self.open.pop(ask.number, None)
+        if self.halls:
+            self.halls.over(ask.number)
 
     def advise(self, ask: Ask, advice: i.Advice) -> None:
         """Tells the module of other wishes for a session, if they are any."""
@@ -425,6 +441,8 @@
             )
             if ask.line.send(message):
                 self.counts["attempts"] += 1
+                if self.halls:
+                    self.halls.set_up(ask.number, action.server)
                 ask.out = self.book.set_up(ask.number, number, action.server, record is None)
                 if ask.hold:
                     self.holds[ask.number, number] = ask.hold
--- /dev/null
+++ b/lemonhall/front/deciding/halls.py
@@ -0,0 +1,144 @@
+"""The machine of halls at a front: fed with what its asks, list and members tell, its words sent and kept."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import structlog
+
+from lemonhall import interface as i
+from lemonhall.halls import Halls, Order
+from lemonhall.interface import Outcome
+from lemonhall.loop import Loop, Timer
+from lemonhall.members.machine import View
+from lemonhall.members.members_pb2 import HALLS, Message
+
+log = structlog.get_logger("lemonhall.front")
+TICK_PART = 0.5  # of a period of words: evidence is looked at this often
+
+
+class Carrier(Protocol):
+    """The members' socket."""
+
+    number: int
+
+    def tell_front(self, number: int, message: Any) -> bool: ...
+
+
+class Disk(Protocol):
+    def save_halls(self, data: bytes, then: Callable[[str], object]) -> None: ...
+
+
+class HallsDesk:
+    """`cells`: of the service; `said`: told of each change, for the capture. Times of the loop, in ms."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        machine: Halls,
+        cells: int,
+        wall: Callable[[], float],
+        carrier: Carrier | None,
+        disk: Disk | None,
+        said: Callable[[str], object] = lambda words: None,
+    ) -> None:
+        self.loop, self.machine, self.cells, self.wall = loop, machine, cells, wall
+        self.carrier, self.disk, self.said = carrier, disk, said
+        self.timer: Timer | None = None
+
+    def now(self) -> float:
+        return self.loop.now() * 1000
+
+    def start(self) -> None:
+        self.timer = self.loop.call_later(0.0, self.tick)
+
+    def stop(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+
+    # what is seen
+
+    def listed(self, servers: list[i.Server], fresh: bool) -> None:
+        self.machine.listed(self.now(), servers, fresh)
+        self.tell_changes()
+
+    def view(self, view: View) -> None:
+        self.machine.members = view.members
+
+    def seen(self, server: int, outcome: Outcome) -> None:
+        self.machine.seen(self.now(), server, outcome)
+
+    def heard(self, message: Any) -> None:
+        self.machine.hear(self.now(), message.sender, message.halls)
+        self.tell_changes()
+        if self.machine.answer:
+            self.send(self.machine.tick(self.now()))
+
+    # asks
+
+    def ask(self, ask: int, cls: int, first: int, cells: int) -> i.Advice:
+        row = None
+        if cells < self.cells:
+            row = frozenset((first + n) % self.cells for n in range(cells))
+        ruling = self.machine.ask(self.now(), ask, cls, row)
+        return i.Advice(prefer=ruling.prefer, cap=ruling.cap, bars=ruling.bars)
+
+    def set_up(self, ask: int, server: int) -> None:
+        self.machine.set_up(self.now(), ask, server)
+
+    def playing(self, ask: int, server: int) -> None:
+        self.machine.playing(self.now(), ask, server)
+
+    def carried(self, ask: int, cls: int, rung: int, server: int) -> None:
+        self.machine.carried(self.now(), ask, cls, rung, server)
+
+    def over(self, ask: int) -> None:
+        self.machine.over(self.now(), ask)
+
+    # words
+
+    def tick(self) -> None:
+        self.send(self.machine.tick(self.now()))
+        self.tell_changes()
+        self.timer = self.loop.call_later(TICK_PART * self.machine.period() / 1000, self.tick)
+
+    def send(self, words: list[Any]) -> None:
+        """What must not be forgotten is on disk before a word of it leaves."""
+        if not self.machine.dirty:
+            self.leave(words)
+        elif self.disk is None:
+            self.machine.to_keep()
+            self.leave(words)
+        else:
+            self.disk.save_halls(self.machine.to_keep(), lambda why: self.leave(words) if not why else None)
+
+    def leave(self, words: list[Any]) -> None:
+        if self.carrier is None:
+            return
+        for out in words:
+            self.carrier.tell_front(out.to, Message(kind=HALLS, sender=self.carrier.number, halls=out.data))
+
+    def tell_changes(self) -> None:
+        changes, self.machine.changes = self.machine.changes, []
+        for change in changes:
+            log.warning("hall", hall=change.hall, state=change.state.name.lower(), why=change.why)
+            self.said(f"{change.hall} is {change.state.name.lower()}: {change.why}")
+
+    # operators
+
+    def page(self) -> tuple[int, str, bytes]:
+        shown = self.machine.show(self.now())
+        return 200, "application/json", json.dumps(shown).encode() + b"\n"
+
+    def order(self, hall: str, what: Order) -> tuple[int, str, bytes]:
+        """An operator's order, which goes to all fronts and is kept over a restart."""
+        names = self.machine.plan.halls
+        if hall not in names:
+            return 404, "text/plain", f"no hall {hall!r}; there are {' '.join(names)}\n".encode()
+        self.machine.order(names.index(hall), what, self.wall() * 1000)
+        self.machine.answer |= set(self.machine.members) - {self.machine.number}
+        self.send(self.machine.tick(self.now()))
+        self.tell_changes()
+        return self.page()
--- a/lemonhall/front/deciding/membership.py
+++ b/lemonhall/front/deciding/membership.py
@@ -17,14 +17,15 @@
 from lemonhall.loop import Loop, Timer
 from lemonhall.loop.core import READ
 from lemonhall.members import BadSeal, Config, Keys, Machine, Send
-from lemonhall.members.machine import DATAGRAM_MOST, View
 from lemonhall.members.machine import State as MemberState
-from lemonhall.members.members_pb2 import ASK_CLAIM, CLAIM, Message
+from lemonhall.members.machine import View
+from lemonhall.members.members_pb2 import ASK_CLAIM, CLAIM, HALLS, Message
 from lemonhall.members.share import Share
 from lemonhall.problem import BadInput, Problem
 
 log = structlog.get_logger("lemonhall.front")
 READS_A_TURN = 64
+READ_MOST = 1400  # bytes: words about halls may be longer than a member's
 
 
 def packed(at: tuple[str, int]) -> tuple[int, int]:
@@ -92,6 +93,8 @@
         self.version = 0
         self.timer: Timer | None = None
         self.on_claim: Callable[[Any], object] = lambda message: None
+        self.on_halls: Callable[[Any], object] = lambda message: None
+        self.deaf_to: set[int] = set()  # for tests: ports that nothing is heard from
         self.on_view: Callable[[View], object] = lambda view: None
         loop.watch(self.sock, READ, self.on_ready)
         self.send(self.machine.start(self.now_ms()))
@@ -103,11 +106,13 @@
     def on_ready(self, _: int) -> None:
         for _turn in range(READS_A_TURN):
             try:
-                data, sender = self.sock.recvfrom(DATAGRAM_MOST + 1)
+                data, sender = self.sock.recvfrom(READ_MOST)
             except BlockingIOError:
                 break
             except OSError:  # an ICMP error of an earlier send: whoever it was to is down
                 continue
+            if sender[1] in self.deaf_to:
+                continue
             try:
                 message = self.keys.open(data)
             except BadSeal as error:
@@ -117,19 +122,19 @@
                         "member's datagram refused", sender=str(sender), why=str(error), times=self.bad
                     )
                 continue
-            if not self.about_claim(message):
+            if not self.about_others(message):
                 self.send(self.machine.receive(self.now_ms(), packed(sender), message))
         self.arm()
 
-    def about_claim(self, data: bytes) -> bool:
-        """Words about claims travel under the same seal; the machine of members has no part in them."""
+    def about_others(self, data: bytes) -> bool:
+        """Words about claims and halls travel under the same seal: not for the machine of members."""
         try:
             message = Message.FromString(data)
         except DecodeError:
             return False
-        if message.kind not in (ASK_CLAIM, CLAIM) or message.sender == self.number:
+        if message.kind not in (ASK_CLAIM, CLAIM, HALLS) or message.sender == self.number:
             return False
-        self.on_claim(message)
+        (self.on_halls if message.kind == HALLS else self.on_claim)(message)
         return True
 
     def tell_front(self, number: int, message: Any) -> bool:
--- a/lemonhall/front/keeping/keeper.py
+++ b/lemonhall/front/keeping/keeper.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import structlog
+import xxhash
 
 from lemonhall import interface as i
 from lemonhall.config.settings import StoreSettings
@@ -35,7 +36,7 @@
 MEMORY_EVERY_S = 2.0
 PRUNE_EVERY_S = 60.0
 TRY_EVERY_S = 0.5  # after a write that failed, until one succeeds
-LIST, MEMORY, TRIED = b"list", b"memory", b"tried"
+LIST, MEMORY, TRIED, HALLS = b"list", b"memory", b"tried", b"halls"
 DAMAGED = Record(Standing.RAN)  # what stands for a claim that cannot be read: never again
 
 
@@ -259,6 +260,28 @@
             log.warning("what was learned is not used", why=str(error))
             return None
 
+    # halls
+
+    def save_halls(self, data: bytes, then: Callable[[str], object]) -> None:
+        """`then` is told "" once it is on disk, else why it is not."""
+
+        def written(why: str) -> None:
+            self.told(why)
+            then(why)
+
+        self.writer.put(("learned", HALLS, xxhash.xxh3_64_digest(data) + data, ANYTHING), written)
+
+    def load_halls(self) -> bytes | None:
+        """What was kept; `b""` if nothing ever was; None if it is damaged."""
+        value = self.store.raw("learned", HALLS)
+        if value is None:
+            return b""
+        if value[:8] != xxhash.xxh3_64_digest(value[8:]):
+            self.counts["damaged"] += 1
+            log.error("what was kept of halls is damaged")
+            return None
+        return value[8:]
+
     # upkeep
 
     def prune(self) -> None:
--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from random import Random, SystemRandom
 from typing import Any, Protocol
+from urllib.parse import unquote
 
 import prometheus_client as prom
 import structlog
@@ -26,6 +27,7 @@
 from lemonhall.front.deciding.asks import Asks
 from lemonhall.front.deciding.bridge import Bridge, Decider
 from lemonhall.front.deciding.claims import Claims
+from lemonhall.front.deciding.halls import HallsDesk
 from lemonhall.front.deciding.hooks import Hooks
 from lemonhall.front.deciding.listclient import ListClient
 from lemonhall.front.deciding.membership import Membership, read_keys
@@ -38,6 +40,7 @@
 from lemonhall.front.process.local import Queue
 from lemonhall.front.servers.catalogue import Call
 from lemonhall.front.viewers.worker import STOP_S, Worker
+from lemonhall.halls import Halls, Order, Plan
 from lemonhall.interface import Outcome
 from lemonhall.loop import Loop, listen
 from lemonhall.loop.core import READ
@@ -112,7 +115,7 @@
             settings.list_url,
             settings.list_cache,
             settings.name,
-            self.bridge.tell,
+            self.tell_list,
             self.start_wall_ms,
         )
         self.builder = Builder(self.loop)
@@ -266,8 +269,13 @@
                 "/hooks": self.hooks.page,
                 "/members": self.members_page,
                 "/capture": self.capture_page,
+                "/halls": self.halls_page,
             }
-            self.open_status(status.serve(self.loop, pages), taken.status)
+            acts: dict[str, status.Act] = {
+                "/halls/hold": lambda hall: self.order_hall(hall, Order.HOLD),
+                "/halls/release": lambda hall: self.order_hall(hall, Order.NONE),
+            }
+            self.open_status(status.serve(self.loop, pages, acts), taken.status)
         if s.peers_listen:
             self.peers = Peers(self.loop, s.peers_listen, s.index, s.peers, self.bridge.tell, taken.peers)
         if s.members:
@@ -288,6 +296,8 @@
         if self.membership:
             self.membership.on_claim = self.asks.claims.heard
             self.membership.on_view = self.seen
+        if s.terms.spills:
+            self.open_halls()
         if s.record:
             self.asks.recorder = Recorder(Path(s.record), s, self.loop.now() * 1000)
         anew = taken.message is None
@@ -311,6 +321,50 @@
         log.info("serving", at=self.host, front=s.name, index=s.index, fronts=s.fronts, status=shown)
         return (at, 0) if isinstance(at, str) else (at[0], at[1])
 
+    def open_halls(self) -> None:
+        """The machine of halls, with what was kept of its parts; without a store it has to ask for them."""
+        kept = self.keeper.load_halls() if self.keeper else None
+        s, now = self.settings, self.loop.now() * 1000
+        machine = Halls(
+            Plan.of(s.terms),
+            s.index,
+            s.fronts,
+            s.hall,
+            int(self.wall() * 1000),
+            Random(s.seed),
+            now,
+            remembers=kept is not None,
+            kept=kept or b"",
+        )
+        halls = self.asks.halls = HallsDesk(
+            self.loop, machine, s.terms.cells, self.wall, self.membership, self.keeper, self.hall_said
+        )
+        if self.membership:
+            self.membership.on_halls = halls.heard
+            halls.view(self.membership.machine.view())
+        halls.start()
+
+    def hall_said(self, words: str) -> None:
+        if self.capture:
+            self.capture.word(self.now_ms(), "halls", words)
+
+    def tell_list(self, event: i.Event) -> None:
+        """What the list client tells the module goes to the machine of halls as well."""
+        self.bridge.tell(event)
+        if self.asks.halls and isinstance(event, i.ServerList) and event.kind != i.ListKind.FAILED:
+            fresh = event.kind != i.ListKind.CACHED
+            self.asks.halls.listed(self.list.list.servers(), fresh)
+
+    def halls_page(self) -> tuple[int, str, bytes]:
+        if self.asks.halls is None:
+            return 404, "text/plain", b"no spill in the settings\n"
+        return self.asks.halls.page()
+
+    def order_hall(self, hall: str, what: Order) -> tuple[int, str, bytes]:
+        if self.asks.halls is None:
+            return 404, "text/plain", b"no spill in the settings\n"
+        return self.asks.halls.order(unquote(hall.removeprefix("hall=")), what)
+
     def open_guard(self) -> None:
         """Where a front can be relieved, its class says how."""
 
@@ -350,7 +404,9 @@
         self.serve_status = accept
 
     def seen(self, view: View) -> None:
-        """Another view of who is there, for the capture."""
+        """Another view of who is there."""
+        if self.asks.halls:
+            self.asks.halls.view(view)
         if self.capture:
             there = " ".join(map(str, view.members))
             words = f"there are {there}" + (", this one may be cut off" if view.cut_off else "")
--- a/lemonhall/front/process/status.py
+++ b/lemonhall/front/process/status.py
@@ -11,13 +11,14 @@
 from lemonhall.loop import Handler, Loop, Stream
 
 Page = Callable[[], tuple[int, str, bytes]]  # status, content type, body
+Act = Callable[[str], tuple[int, str, bytes]]  # told what stands behind the ?
 PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 503: "Unavailable"}
 IDLE_S = 10.0
 
 
 class StatusConnection(Handler):
-    def __init__(self, loop: Loop, sock: socket.socket, pages: dict[str, Page]) -> None:
-        self.pages = pages
+    def __init__(self, loop: Loop, sock: socket.socket, pages: dict[str, Page], acts: dict[str, Act]) -> None:
+        self.pages, self.acts = pages, acts
         self.parser = httptools.HttpRequestParser(self)
         self.url = b""
         self.stream = Stream(loop, sock, self)
@@ -36,8 +37,11 @@
 
     def on_message_complete(self) -> None:
         url, self.url = self.url, b""
-        page = self.pages.get(url.partition(b"?")[0].decode(errors="replace"))
-        if self.parser.get_method() != b"GET":
+        path, _, query = url.decode(errors="replace").partition("?")
+        page, method = self.pages.get(path), self.parser.get_method()
+        if method == b"POST" and path in self.acts:
+            self.respond(*self.acts[path](query))
+        elif method != b"GET":
             self.respond(405, "text/plain", b"GET only\n")
         elif page is None:
             self.respond(404, "text/plain", f"known are {' '.join(self.pages)}\n".encode())
@@ -55,5 +59,8 @@
         self.timer.cancel()
 
 
-def serve(loop: Loop, pages: dict[str, Page]) -> Callable[[socket.socket, Any], object]:
-    return lambda sock, _: StatusConnection(loop, sock, pages)
+def serve(
+    loop: Loop, pages: dict[str, Page], acts: dict[str, Act] | None = None
+) -> Callable[[socket.socket, Any], object]:
+    """`pages` are read by GET, `acts` done by POST."""
+    return lambda sock, _: StatusConnection(loop, sock, pages, acts or {})
--- /dev/null
+++ b/lemonhall/halls/parts.py
@@ -0,0 +1,109 @@
+"""One limit held in parts by all fronts, without a centre: the sum of the parts is never over it.
+
+Each front owns one part, fixed by the settings: 1/F of the limit (F fronts, by number). What it does not need
+it lends, and is given back; escrow, as in O'Neil, "The Escrow Transactional Method" (TODS 1986), with the
+counters of a pair of fronts kept apart, as bounded counters do (Balegas et al., SRDS 2015):
+
+    lender     lent[j]: number and amount of the last grant to j. It counts as gone from before the grant is
+               sent until j has said, of this very grant, that it holds less.
+    borrower   held[i]: number of the last grant of i's that was seen, and what is left of it here.
+
+Messages tell the state, not the step, and are sent again each period: lost, doubled and late ones do no harm.
+A grant rises only with a new number, a holding falls only under the number that it was granted with, so what
+one holds is at no time more than what the other counts as gone. A life is a process that remembers; words to
+or of an earlier one are void. One that remembers nothing may have lent all of its own part: it uses nothing
+of it until every other front has said what it holds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lemonhall.halls.plan import MILLION
+
+
+@dataclass
+class Loan:
+    seq: int = 0
+    amount: int = 0
+
+
+def own_part(number: int, fronts: int, whole: int = MILLION) -> int:
+    """Whole numbers that add up to the whole over all fronts."""
+    return whole // fronts + (number < whole % fronts)
+
+
+class Parts:
+    """This front's side of one limit. Amounts are millionths; `used` is the owner's to tell."""
+
+    def __init__(self, number: int, fronts: int, remembers: bool) -> None:
+        self.number, self.fronts = number, fronts
+        self.own = own_part(number, fronts) if number < fronts else 0
+        self.lent: dict[int, Loan] = {}
+        self.held: dict[int, Loan] = {}
+        self.unheard = set() if remembers else set(range(fronts)) - {number}
+        self.used = 0
+        self.need = 0
+        self.dirty = False  # something that must not be forgotten has changed
+
+    def mine(self) -> int:
+        """What may be used here."""
+        own = 0 if self.unheard else self.own - sum(loan.amount for loan in self.lent.values())
+        return own + sum(loan.amount for loan in self.held.values())
+
+    def free(self) -> int:
+        return self.mine() - self.used
+
+    # the others
+
+    def reborn(self, other: int) -> None:
+        """The other's process remembers nothing: what it held of this front's ended with it."""
+        if loan := self.lent.get(other):
+            loan.seq, loan.amount = loan.seq + 1, 0
+            self.dirty = True
+        if loan := self.held.get(other):
+            loan.seq = 0  # it counts its grants anew; what is held stays so until it has heard
+
+    def granted(self, other: int, seq: int, amount: int) -> None:
+        """Another's word on what it lends this front, said in its present life to ours."""
+        loan = self.held.setdefault(other, Loan())
+        if seq > loan.seq:
+            loan.seq, loan.amount = seq, amount
+            self.dirty = True
+
+    def returned(self, other: int, seq: int, amount: int) -> None:
+        """Another's word on what it holds of this front's."""
+        loan = self.lent.setdefault(other, Loan())
+        if other in self.unheard:
+            self.unheard.discard(other)
+            loan.seq, loan.amount = max(loan.seq, seq) + 1, amount
+            self.dirty = True
+        elif seq == loan.seq and amount < loan.amount:
+            loan.seq, loan.amount = seq + 1, amount
+            self.dirty = True
+
+    def lend(self, other: int, asked: int) -> int:
+        """Lends as much as is asked of what is free, at most half of it. What was lent."""
+        spare = max(0, self.own_free() - self.need)
+        given = min(asked, (spare + 1) // 2)
+        if given <= 0 or self.unheard:
+            return 0
+        loan = self.lent.setdefault(other, Loan())
+        loan.seq, loan.amount = loan.seq + 1, loan.amount + given
+        self.dirty = True
+        return given
+
+    def own_free(self) -> int:
+        """Of the own part alone: what is borrowed is not lent on."""
+        left = self.own - sum(loan.amount for loan in self.lent.values())
+        return max(0, min(left, self.free()))
+
+    def give_back(self, keep: int) -> None:
+        """All that is free over `keep`, of what is held of others."""
+        spare = self.free() - keep
+        for _, loan in sorted(self.held.items()):
+            less = min(loan.amount, max(0, spare))
+            if less:
+                loan.amount -= less
+                spare -= less
+                self.dirty = True
--- /dev/null
+++ b/lemonhall/halls/plan.py
@@ -0,0 +1,133 @@
+"""What the settings say of halls that are lost and come back, as the machine goes by it. Pure."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from lemonhall import interface as i
+
+MILLION = 1_000_000  # parts of a limit are told in millionths of it
+
+
+@dataclass(frozen=True)
+class Tier:
+    """Sessions of `hall` may take `share` of the links of `to`. Tiers of a hall stand in their order.
+
+    `overflow`: also while `hall` is up, when it is full."""
+
+    hall: int
+    to: int
+    share: float
+    overflow: bool = False
+
+
+@dataclass(frozen=True)
+class Intake:
+    """What a hall takes in from all others: part of its links, set-ups a second; 0: no limit of that kind."""
+
+    hall: int
+    links: float
+    per_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Spilling:
+    """How the loss and the return of a hall are told. Times in ms.
+
+    `notice`: evidence must hold so long; `trial`: a dark hall is tried this often; `ramp`: a return takes so
+    long; `slowest`: and after flaps at most so many times that; `forget`: a flap is forgotten after."""
+
+    notice_ms: float = 3000.0
+    trial_ms: float = 2000.0
+    ramp_ms: float = 30_000.0
+    slowest: float = 8.0
+    forget_ms: float = 300_000.0
+
+
+class Terms(Protocol):
+    """What is read of the terms of the service."""
+
+    @property
+    def halls(self) -> tuple[str, ...]: ...
+    @property
+    def classes(self) -> tuple[i.SessionClass, ...]: ...
+    @property
+    def spills(self) -> Sequence[Any]: ...
+    @property
+    def takes_in(self) -> Sequence[Any]: ...
+    @property
+    def spilling(self) -> Any: ...
+    @property
+    def no_spill(self) -> frozenset[int]: ...
+    @property
+    def places_by_kind(self) -> tuple[int, ...]: ...
+    @property
+    def ladder_kb(self) -> tuple[float, ...]: ...
+    @property
+    def link_kb_per_weight(self) -> float: ...
+    @property
+    def cold_from(self) -> float: ...
+    @property
+    def warm_ms(self) -> float: ...
+
+
+@dataclass(frozen=True)
+class Plan:
+    """`limits`: of each place the hall that takes in, and the share of its links: tiers first, then intakes.
+
+    Raises nothing: what cannot be is refused with the settings."""
+
+    halls: tuple[str, ...]
+    classes: tuple[i.SessionClass, ...]
+    tiers: tuple[Tier, ...]
+    intakes: tuple[Intake, ...]
+    spilling: Spilling
+    no_spill: frozenset[int]
+    ladder_kb: tuple[float, ...]
+    places_by_kind: tuple[int, ...]
+    link_kb_per_weight: float
+    cold_from: float
+    warm_ms: float
+
+    @classmethod
+    def of(cls, terms: Terms) -> Plan:
+        return cls(
+            halls=terms.halls,
+            classes=terms.classes,
+            tiers=tuple(Tier(t.hall, t.to, t.share, t.overflow) for t in terms.spills),
+            intakes=tuple(Intake(t.hall, t.links, t.per_s) for t in terms.takes_in),
+            spilling=Spilling(
+                terms.spilling.notice_ms,
+                terms.spilling.trial_ms,
+                terms.spilling.ramp_ms,
+                terms.spilling.slowest,
+                terms.spilling.forget_ms,
+            ),
+            no_spill=terms.no_spill,
+            ladder_kb=terms.ladder_kb,
+            places_by_kind=terms.places_by_kind,
+            link_kb_per_weight=terms.link_kb_per_weight,
+            cold_from=terms.cold_from,
+            warm_ms=terms.warm_ms,
+        )
+
+    @property
+    def limits(self) -> tuple[tuple[int, float], ...]:
+        return tuple([(t.to, t.share) for t in self.tiers] + [(t.hall, t.links or 1.0) for t in self.intakes])
+
+    @property
+    def digest(self) -> int:
+        """Parts are of one whole only among fronts that go by the same tiers and intakes."""
+        return zlib.crc32(repr((self.halls, self.tiers, self.intakes)).encode())
+
+    def limits_of(self, tier: Tier) -> tuple[int, ...]:
+        """Places of the limits that a session under a tier counts against."""
+        own = [self.tiers.index(tier)]
+        return tuple(own + [len(self.tiers) + n for n, t in enumerate(self.intakes) if t.hall == tier.to])
+
+    def places(self, server: i.Server) -> int:
+        table = self.places_by_kind
+        return table[server.kind] if server.kind < len(table) else max(1, min(table))
--- a/lemonhall/hooks/advice.py
+++ b/lemonhall/hooks/advice.py
@@ -207,4 +207,5 @@
     avoid = [w for w in (*new.avoid, *old.avoid) if w not in new.prefer]
     both = (tuple(dict.fromkeys(prefer)), tuple(dict.fromkeys(avoid)))
     start, pause_ms = min(old.start, new.start), old.pause_ms or new.pause_ms
-    return i.Advice(*both, min(old.cap, new.cap), start, pause_ms, old.refuse or new.refuse)
+    bars = tuple(sorted({*old.bars, *new.bars}))
+    return i.Advice(*both, min(old.cap, new.cap), start, pause_ms, old.refuse or new.refuse, bars)
--- a/lemonhall/interface.py
+++ b/lemonhall/interface.py
@@ -148,7 +148,7 @@
 
 @dataclass(frozen=True)
 class Advice:
-    """What is wished for a session from outside. It binds nothing: terms and room come first."""
+    """What is wished for a session from outside. But for `bars` it binds nothing: terms, room first."""
 
     prefer: tuple[tuple[str, int], ...] = ()  # (zone, cell, kind or server; number): these servers first
     avoid: tuple[tuple[str, int], ...] = ()  # these last
@@ -156,6 +156,7 @@
     start: int = 99  # begins at this rung or under it
     pause_ms: float = 0.0  # to be advised if it is refused; 0: as the settings say
     refuse: bool = False  # unless it has played
+    bars: tuple[int, ...] = ()  # zones that it may not be set up in: a limit, which binds
 
 
 NO_ADVICE = Advice()
@@ -317,6 +318,7 @@
     CUT = 15  # to a lower rung: a pipe is over-asked [its fit]
     LIFTED = 16  # to a higher one: room stays [kB of it]
     SETTLED = 17  # the rung that its set-up's report leaves room for [kB of it]
+    OUTSIDE = 18  # all servers that it may be set up on lie in other zones [servers]
 
 
 @dataclass(frozen=True)
--- a/lemonhall/model/fleet.py
+++ b/lemonhall/model/fleet.py
@@ -172,6 +172,7 @@
             self.recent.popleft()
         if len(self.recent) > max(2.0, terms.overload_factor * pace * terms.tip_after_ms + 2):
             self.world.count("tipped")
+            self.world.trace.tipped.append((now, self.spec.name))
             self.die()
 
     def set_up(self, attempt: Caller, life: int) -> None:
--- a/lemonhall/model/fronts.py
+++ b/lemonhall/model/fronts.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
+from random import Random
 from typing import Any, Protocol
 
 from lemonhall import interface as i
 from lemonhall.audit.trace import Attempt as Seen
+from lemonhall.halls import Halls, Plan
 from lemonhall.interface import NoteKind, Outcome, ServerState
 from lemonhall.model.fleet import Box
 from lemonhall.model.parts import Stage, Watcher
@@ -134,6 +137,9 @@
         self.heard: dict[int, i.Server] = {}
         self.calls = 0
         self.memory: i.Memory | None = None  # what it had learned when it was killed, if that is kept
+        self.halls: Halls | None = None
+        self.halls_kept = b""
+        self.apart = False  # hears none that are not, nor do these hear it
 
     # life
 
@@ -143,8 +149,67 @@
         self.asks, self.events, self.flushing = {}, [], False
         settings = self.world.module_settings(self.index)
         self.module = make(settings, self.world.seed * 100 + self.index)
+        if self.world.day.terms.spills:
+            self.start_halls()
         self.call()
 
+    # halls
+
+    def start_halls(self) -> None:
+        """The same machine as at a running front; what it keeps is on disk where the day says so."""
+        day, sim = self.world.day, self.world.sim
+        self.halls = Halls(
+            Plan.of(day.terms),
+            self.index,
+            len(day.fronts),
+            self.hall,
+            int(sim.now) + self.life,
+            Random(self.world.seed * 1000 + self.index),
+            sim.now,
+            remembers=day.keep or self.life == 1,
+            kept=self.halls_kept,
+        )
+        self.halls.members = tuple(range(len(day.fronts)))
+        sim.after(0.0, self.tick_halls, self.life)
+
+    def tick_halls(self, life: int) -> None:
+        if self.up and life == self.life and self.halls:
+            self.say_halls()
+            self.world.sim.after(self.halls.period(), self.tick_halls, life)
+
+    def say_halls(self) -> None:
+        """Words travel as those of members do: some are lost."""
+        assert self.halls
+        for out in self.halls.tick(self.world.sim.now):
+            if self.halls.dirty and self.world.day.keep:
+                self.halls_kept = self.halls.to_keep()
+            other = self.world.fronts[out.to]
+            self.world.peer_messages += 1
+            draw = self.world.named.uniform("peers", f"{self.name}/{other.name}", self.world.peer_messages)
+            if draw >= PEER_LOSS and other.apart == self.apart:
+                self.world.sim.after(PEER_MS, other.hear_halls, self.index, out.data)
+
+    def hear_halls(self, sender: int, data: bytes) -> None:
+        if self.up and self.halls:
+            self.halls.hear(self.world.sim.now, sender, data)
+            if self.halls.answer:
+                self.say_halls()
+
+    def advise(self, ask: Ask, advice: i.Advice) -> i.Advice:
+        """What the ruling of its halls makes of it."""
+        if self.halls is None:
+            return advice
+        _, first, cells = self.world.place_of(ask.viewer.wish)
+        most = self.world.day.terms.cells
+        row = frozenset((first + n) % most for n in range(cells)) if cells < most else None
+        ruling = self.halls.ask(self.world.sim.now, ask.number, ask.viewer.wish.cls, row)
+        return replace(advice, prefer=ruling.prefer, cap=ruling.cap, bars=ruling.bars)
+
+    def forget(self, ask: Ask) -> None:
+        self.asks.pop(ask.number, None)
+        if self.halls:
+            self.halls.over(self.world.sim.now, ask.number)
+
     def kill(self) -> None:
         """All but what is on disk is gone with it; viewers and servers see their connections break."""
         self.up = False
@@ -200,6 +265,8 @@
                 self.heard.pop(line.id, None)
             else:
                 self.heard[line.id] = line
+        if self.halls:
+            self.halls.listed(self.world.sim.now, list(self.heard.values()), as_of >= self.born)
         if as_of < self.born:
             self.tell(i.ServerList(i.ListKind.CACHED, version, tuple(self.heard.values())))
         else:
@@ -217,6 +284,7 @@
         ask.deadline = self.world.sim.now + left
         self.world.sim.at(ask.deadline + BACKSTOP_MS, self.overdue, ask)
         ran, advice = self.claim(ask) if not moved else (False, i.NO_ADVICE)
+        advice = self.advise(ask, advice)
         title, first, cells = self.world.place_of(wish)
         again = moved or wish.tries > 1
         self.tell(
@@ -262,6 +330,8 @@
         took = self.world.sim.now - attempt.began
         ask.answered = True
         self.tell(i.Playing(ask.number, attempt.number, attempt.server, took))
+        if self.halls:
+            self.halls.playing(self.world.sim.now, ask.number, attempt.server)
         for name, value in zip(self.world.day.terms.report_fields, attempt.report, strict=False):
             if kind := {"x0": NoteKind.LINK, "x1": NoteKind.UPLINK}.get(name):
                 self.tell(i.Note(ask.number, attempt.number, attempt.server, kind, value))
@@ -269,6 +339,8 @@
             self.world.sim.after(self.world.hop(), ask.viewer.answer, ask.token, 200)
 
     def ended(self, ask: Ask, attempt: Attempt, outcome: Outcome) -> None:
+        if self.halls:
+            self.halls.seen(self.world.sim.now, attempt.server, outcome)
         if ask.attempt is not attempt:
             return
         ask.attempt = None
@@ -281,7 +353,7 @@
         )
         if not closed:
             return
-        self.asks.pop(ask.number, None)
+        self.forget(ask)
         if ask.gone:
             return
         if ask.viewer.moving:
@@ -302,14 +374,14 @@
         if ask.attempt:
             ask.attempt.leave()
         else:
-            self.asks.pop(ask.number, None)
+            self.forget(ask)
 
     def final(self, ask: Ask, status: int) -> None:
         ask.answered = True
         attempt, ask.attempt = ask.attempt, None
         if attempt:
             attempt.end(Outcome.CANCELLED)
-        self.asks.pop(ask.number, None)
+        self.forget(ask)
         if ask.gone:
             return
         if ask.moved:
@@ -334,6 +406,8 @@
             return
         made = Attempt(self, ask, number, action.server, box, self.world.rate(ask.viewer.wish, ask.rung))
         ask.attempt = made
+        if self.halls:
+            self.halls.set_up(self.world.sim.now, ask.number, action.server)
         self.world.sim.after(self.world.hop(), box.arrive, made)
         made.timer = self.world.sim.after(max(1.0, limit), made.end, Outcome.TIMEOUT)
 
--- a/lemonhall/model/world.py
+++ b/lemonhall/model/world.py
@@ -11,6 +11,7 @@
 from lemonhall import decide
 from lemonhall import interface as i
 from lemonhall.audit import Report, audit
+from lemonhall.audit.halls import of_halls
 from lemonhall.audit.trace import Trace
 from lemonhall.config.day import Day, FaultSpec
 from lemonhall.config.routing import title_of
@@ -179,6 +180,24 @@
         self.box_list.lag_ms = self.day.list_lag_ms + fault.by_ms
         self.sim.after(fault.for_ms, setattr, self.box_list, "lag_ms", self.day.list_lag_ms)
 
+    def on_hall_dark(self, fault: FaultSpec, hall: str) -> None:
+        self.trace.hall_faults.append((self.sim.now, fault.kind, hall))
+        self.darken(fault, hall)
+
+    def darken(self, fault: FaultSpec, hall: str) -> None:
+        for box in self.boxes.values():
+            if self.day.terms.halls[box.spec.hall] == hall:
+                self.on_crash(fault, box.spec.name)
+
+    def on_hall_flap(self, fault: FaultSpec, hall: str) -> None:
+        self.on_hall_dark(fault, hall)
+        self.sim.after(fault.for_ms + fault.by_ms, self.darken, fault, hall)
+
+    def on_fronts_apart(self, fault: FaultSpec, name: str) -> None:
+        front = next(f for f in self.fronts if f.name == name)
+        front.apart = True
+        self.sim.after(fault.for_ms, setattr, front, "apart", False)
+
     def on_surge(self, fault: FaultSpec, partner: str) -> None:
         """Drawn with the arrivals."""
 
@@ -249,6 +268,8 @@
         self.sim.run(self.day.length_ms + OVER_MS)
         report = audit(self.trace, self.day.terms)
         report.seconds = self.timer() - began
+        if spilled := of_halls(self.trace, self.day):
+            report.halls = spilled.to_json()
         return Played(
             self.trace,
             report,
--- /dev/null
+++ b/tests/halls/test_machine.py
@@ -0,0 +1,241 @@
+"""Rulings: what a session may use while its hall is up, lost, coming back; limits, reserves, the ramp."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from lemonhall import decide
+from lemonhall import interface as i
+from lemonhall.halls import Halls, Intake, Order, Plan, Ruling, State, Tier
+from lemonhall.halls.parts import own_part
+from lemonhall.interface import Outcome
+from tests.halls.worlds import PAID, PLAN, SAFE, STAYS, fleet
+
+NOTICE = PLAN.spilling.notice_ms
+
+
+def made(home: int = 0, fronts: int = 1, plan: Plan = PLAN, halls: tuple[int, ...] = (0, 1, 2)) -> Halls:
+    machine = Halls(plan, 0, fronts, home, 1, Random(1), 0.0)
+    machine.listed(0.0, fleet(*halls), True)
+    return machine
+
+
+def lose(machine: Halls, now: float, *stay: int) -> float:
+    machine.listed(now, fleet(*stay), True)
+    machine.look(now + NOTICE)
+    assert machine.sights[machine.home].state is State.DARK
+    return now + NOTICE
+
+
+def test_while_its_hall_is_up_a_session_plays_there_alone() -> None:
+    ruling = made().ask(10.0, 1, SAFE)
+    assert ruling == Ruling(bars=(1, 2))
+
+
+def test_overflow_is_let_out_while_the_hall_is_up_and_behind_it() -> None:
+    ruling = made(home=1).ask(10.0, 1, SAFE)
+    assert ruling.bars == (0,) and ruling.prefer == (("zone", 1),) and ruling.spill == 2
+
+
+def test_a_title_that_its_hall_has_never_had_is_nobodys_to_bind() -> None:
+    machine = made()
+    assert machine.ask(10.0, 1, SAFE, frozenset({4})) == Ruling()
+    assert machine.ask(10.0, 2, SAFE, frozenset({1, 4})).bars == (1, 2)
+
+
+def test_a_lost_halls_sessions_go_to_the_first_tier_then_the_next_then_nowhere() -> None:
+    machine = made()
+    now = lose(machine, 1000.0, 1, 2)
+    took = [machine.ask(now, n, SAFE).spill for n in range(200)]
+    first, second = took.count(1), took.count(2)
+    assert took == [1] * first + [2] * second + [-1] * (200 - first - second)
+    links = 4 * PLAN.link_kb_per_weight
+    floor = PLAN.ladder_kb[0]
+    # the intake of hall-b (20%) binds before its tier (25%)
+    used = [machine.parts[n].used / 1e6 * limit for n, (_, limit) in enumerate(PLAN.limits)]
+    assert used[0] <= 0.2 and used[1] <= 0.1 and used[3] <= 0.2
+    assert used[0] > 0.2 - floor / links and used[1] > 0.1 - floor / links
+    assert machine.ask(now, 999, SAFE) == Ruling(bars=(0, 1, 2))  # at once: nowhere
+    for n in range(200):
+        machine.over(now, n)
+    assert [p.used for p in machine.parts] == [0] * len(machine.parts)
+
+
+def test_a_class_that_may_not_spill_is_refused() -> None:
+    machine = made()
+    now = lose(machine, 1000.0, 1, 2)
+    assert machine.ask(now, 1, STAYS).bars == (0, 1, 2)
+
+
+def test_a_tier_whose_own_hall_is_lost_is_passed_over() -> None:
+    machine = made()
+    now = lose(machine, 1000.0, 2)  # hall-b carries nothing: it went as well
+    assert machine.ask(now, 1, SAFE).spill == 2
+
+
+def test_a_spilled_session_is_let_over_its_floor_while_there_is_much_room_only() -> None:
+    machine = made()
+    now = lose(machine, 1000.0, 1, 2)
+    caps = [r.cap for r in (machine.ask(now, n, SAFE) for n in range(200)) if r.spill == 1]
+    assert caps[0] == 3 and caps[-1] == 0 and caps == sorted(caps, reverse=True)
+
+
+def test_what_is_kept_for_the_worthier_goes_by_method_two() -> None:
+    machine = made(plan=replace(PLAN, intakes=()))
+    now = lose(machine, 1000.0, 1)
+    ask, low, high = 0, 0, 0
+    for _ in range(400):
+        now += 100
+        ask += 1
+        low += machine.ask(now, ask, SAFE).spill == 1
+        ask += 1
+        high += machine.ask(now, ask, PAID).spill == 1
+        for old in [n for n, held in machine.sessions.items() if now - held.since > 4000]:
+            machine.over(now, old)
+    assert machine.reserves[0].quota > 0
+    assert high > low
+
+
+def test_set_ups_a_second_into_a_hall_are_limited() -> None:
+    plan = replace(PLAN, intakes=(Intake(1, 0.0, per_s=5.0),), tiers=(Tier(0, 1, 1.0),))
+    machine = made(plan=plan)
+    now = lose(machine, 1000.0, 1, 2)
+    times = [now + 10 * n for n in range(400)]
+    took = [t for n, t in enumerate(times) if machine.ask(t, n, SAFE).spill == 1]
+    for since in times:
+        assert sum(since <= t < since + 1000 for t in took) <= 5 + 5 + 1  # a second's store, and its own
+    assert len(took) == pytest.approx(5 * 4 + 5, abs=3)  # the store, then the rate
+
+
+def test_the_ramp_of_all_fronts_together_is_the_halls_however_they_are_cut_apart() -> None:
+    fronts, sent = 8, []
+    for number in range(fronts):
+        machine = Halls(PLAN, number, fronts, 0, 1, Random(number), 0.0)
+        machine.listed(0.0, fleet(0, 1, 2), True)
+        now = lose(machine, 1000.0, 1, 2)
+        machine.listed(now, fleet(0, ready_at=now, first=100), True)
+        assert machine.sights[0].state is State.RETURNING
+        for n in range(int(PLAN.spilling.ramp_ms / 10)):
+            t = now + 10 * n
+            ruling = machine.ask(t, n, STAYS)
+            if 0 not in ruling.bars:
+                machine.set_up(t, n, 100)
+                machine.over(t, n)
+                sent.append(t - now)
+    sight, span = machine.sights[0], 500.0
+    for since in range(0, int(PLAN.spilling.ramp_ms - span), 100):
+        most = span * sight.pace(now + since + span) + fronts
+        assert sum(since <= t < since + span for t in sent) <= most
+    assert len(sent) > 50
+
+
+def test_an_attempt_more_at_a_hall_that_returns_is_paid_for_by_those_after_it() -> None:
+    machine = made()
+    now = lose(machine, 1000.0, 1, 2)
+    machine.listed(now, fleet(0, ready_at=now, first=100), True)
+    while 0 in machine.ask(now, 1, STAYS).bars:
+        now += 10
+    for _ in range(3):
+        machine.set_up(now, 1, 100)
+    assert machine.ramp.left < -1.5
+
+
+def test_a_turn_that_was_not_used_is_given_back() -> None:
+    machine = made()
+    now = lose(machine, 1000.0, 1, 2)
+    machine.listed(now, fleet(0, ready_at=now, first=100), True)
+    while 0 in machine.ask(now, 1, STAYS).bars:
+        now += 10
+    left = machine.ramp.left
+    machine.over(now, 1)
+    assert machine.ramp.left == pytest.approx(left + 1)
+
+
+def test_room_is_given_back_when_the_session_plays_at_home_after_all() -> None:
+    machine = made()
+    machine.listed(1000.0, fleet(1, 2), True)  # failing: home first
+    machine.listed(1100.0, fleet(0, 1, 2), True)
+    ruling = machine.ask(1100.0, 1, SAFE)
+    assert ruling.bars == (2,) and ruling.prefer == (("zone", 0),)
+    assert machine.parts[0].used > 0
+    machine.playing(1200.0, 1, 0)
+    assert machine.parts[0].used == 0
+
+
+def test_trials_are_never_of_a_paid_session() -> None:
+    machine = made(halls=(0, 1, 2))
+    for t in range(1000, 6000, 100):
+        for n in range(4):
+            machine.seen(float(t), n, Outcome.TIMEOUT)
+        machine.look(float(t))
+    assert machine.sights[0].state is State.DARK
+    assert 0 in machine.ask(9000.0, 1, PAID).bars
+    assert 0 not in machine.ask(9000.0, 2, SAFE).bars
+    assert 0 in machine.ask(9010.0, 3, SAFE).bars  # one at a time
+
+
+def test_what_was_carried_over_counts_and_more_than_there_is_lets_nobody_in() -> None:
+    machine = made()
+    now = lose(machine, 1000.0, 1, 2)
+    for n in range(80):
+        machine.carried(now, 1000 + n, SAFE, 3, 10 + n % 4)  # they play in hall-b
+    assert machine.parts[0].free() < 0 and machine.ask(now, 1, SAFE).spill == 2
+
+
+def test_orders_reach_all_and_outlive_a_restart_and_the_later_one_holds() -> None:
+    a, b = made(fronts=2), Halls(PLAN, 1, 2, 1, 1, Random(2), 0.0)
+    a.members = b.members = (0, 1)
+    assert a.order(2, Order.HOLD, 100.0)
+    b.hear(1.0, 0, a.words(1.0, 1))
+    assert b.sights[2].order is Order.HOLD
+    assert not b.order(2, Order.NONE, 50.0)  # an earlier one that came late
+    again = Halls(PLAN, 1, 2, 1, 2, Random(2), 0.0, kept=b.to_keep())
+    again.look(2.0)
+    assert again.sights[2].state is State.DARK and again.show(2.0)["halls"][2]["held_out"]
+    assert again.order(2, Order.NONE, 200.0)
+    a.hear(3.0, 1, again.words(3.0, 0))
+    assert a.sights[2].order is Order.NONE
+
+
+def test_of_another_plan_the_orders_alone_are_remembered() -> None:
+    old = made(fronts=2)
+    old.order(1, Order.HOLD, 100.0)
+    old.parts[0].lend(1, 1000)
+    other = replace(PLAN, tiers=PLAN.tiers[:1])
+    new = Halls(other, 0, 2, 0, 7, Random(1), 0.0, kept=old.to_keep())
+    assert new.sights[1].order is Order.HOLD and new.life == 7
+    assert new.parts[0].mine() == own_part(0, 2)
+
+
+@pytest.mark.parametrize("data", [b"\xff\xff", b"\x0a"])
+def test_what_cannot_be_read_is_counted_or_refused(data: bytes) -> None:
+    machine = made(fronts=2)
+    machine.hear(1.0, 1, data)
+    assert machine.counts["unreadable"] == 1
+    with pytest.raises(ValueError, match="cannot be read"):
+        machine.recall(data)
+
+
+def test_the_module_sends_nothing_to_a_hall_that_is_barred() -> None:
+    settings = i.Settings(
+        classes=PLAN.classes,
+        ladder_kb=PLAN.ladder_kb,
+        ladder_worth=(0.25, 0.5, 0.8, 1.0),
+        places_by_kind=PLAN.places_by_kind,
+        link_kb_per_weight=320.0,
+        cells=6,
+    )
+    front = decide.Front(settings, 1)
+    front.handle(0.0, [i.ServerList(i.ListKind.FULL, 1, tuple(fleet(0, 1, 2)))])
+    zones = {s.id: s.zone for s in fleet(0, 1, 2)}
+    for n in range(60):
+        bars = ((), (0,), (0, 1), (0, 1, 2))[n % 4]
+        told = i.NewSession(n, SAFE, n, n, 1000.0, 3, 0, 6, advice=i.Advice(bars=bars))
+        actions = front.handle(1.0 + n, [told])
+        asked = [a.server for a in actions if isinstance(a, i.SetUp)]
+        assert all(zones[s] not in bars for s in asked)
+        assert bool(asked) == (len(bars) < 3)
+        assert len(bars) < 3 or any(isinstance(a, i.Refuse) for a in actions)
