Words of halls go out when they are needed; sums of parts are kept, not found anew

Cause: in the model at 50 fronts the machine of halls took ten times what all the rest took: each front told all that held a part of it in each period, and summed its loans at each look. Change: a loan is told until its other end has shown that it knows; sums, counts and the votes of others are kept.

--- a/lemonhall/halls/machine.py
+++ b/lemonhall/halls/machine.py
@@ -30,7 +30,7 @@
 
 LOST = (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT)
 ALIVE = (Outcome.OK, Outcome.FULL, Outcome.ERROR)
-PERIODS = 6.0  # of words, in a notice
+PERIODS = 4.0  # of words, in a notice
 PERIOD_MOST_MS = 500.0
 FANOUT = 2  # others that are told each period, whoever they are
 WIDE_PART = 0.5  # of what is free: a session is let over its floor only for less
@@ -128,14 +128,26 @@
 
     # what is seen
 
-    def listed(self, now: float, servers: list[i.Server], fresh: bool) -> None:
-        """The list as it stands; `fresh`: it is not a kept or an old one."""
-        ready = Counter(s.zone for s in servers if s.state == i.ServerState.READY)
-        self.by_server = {s.id: s.zone for s in servers if s.zone < len(self.sights)}
+    def listed(self, now: float, servers: list[i.Server], fresh: bool, whole: bool = True) -> None:
+        """The list as it stands, or what has changed; `fresh`: it is not a kept or an old one."""
+        lines: dict[int, list[i.Server]] = {n: [] for n in range(len(self.sights))}
+        if whole:
+            self.by_server = {}
+        for server in servers:
+            gone = server.state == i.ServerState.GONE
+            zone = self.by_server.pop(server.id, server.zone) if gone else server.zone
+            if zone not in lines:
+                continue
+            lines[zone].append(server)
+            if not gone:
+                self.by_server[server.id] = zone
+                self.cells[zone].add(server.cell)
+        for hall, own in lines.items():
+            if own or whole:
+                self.sights[hall].hold(own, whole)
+        ready = sum(sight.ready_now for sight in self.sights)
         for sight in self.sights:
-            lines = [s for s in servers if s.zone == sight.hall]
-            self.cells[sight.hall] |= {s.cell for s in lines}
-            sight.listed(now, lines, sum(ready.values()) > ready[sight.hall], fresh)
+            sight.judge(now, ready > sight.ready_now, fresh)
         self.look(now)
 
     def seen(self, now: float, server: int, outcome: Outcome) -> None:
@@ -319,7 +331,7 @@
             parts.need = int(EASE * parts.need)
             if now - self.spilled_at > 2 * self.plan.spilling.notice_ms:
                 parts.give_back(0)
-            to |= {n for n, loan in [*parts.lent.items(), *parts.held.items()] if loan.amount}
+            to |= parts.to_tell()
             if parts.unheard:
                 to |= set(self.random.sample(sorted(parts.unheard), min(FANOUT, len(parts.unheard))))
         return to
@@ -329,8 +341,9 @@
         for n, parts in enumerate(self.parts):
             lent, held = parts.lent.get(other, Loan()), parts.held.get(other, Loan())
             if lent.seq or held.seq or held.amount or parts.need:
-                told = (lent.seq, lent.amount, held.seq, held.amount, parts.need)
-                names = ("grant_seq", "grant", "held_seq", "held", "need")
+                waits = lent.open and lent.seq > 0
+                told = (lent.seq, lent.amount, held.seq, held.amount, parts.need, waits)
+                names = ("grant_seq", "grant", "held_seq", "held", "need", "tell")
                 made.parts.add(limit=n, **dict(zip(names, told, strict=True)))
         for sight in self.sights:
             if sight.order is not Order.HOLD and (sight.state or sight.heard_list):
@@ -380,7 +393,8 @@
             part = by_limit.get(n)
             parts.granted(sender, part.grant_seq if part else 0, part.grant if part else 0)
             parts.returned(sender, part.held_seq if part else 0, part.held if part else 0)
-            if part and part.need and parts.lend(sender, part.need):
+            lent = part is not None and part.need > 0 and parts.lend(sender, part.need) > 0
+            if lent or (part is not None and part.tell):
                 self.answer.add(sender)
 
     # over a restart
@@ -417,10 +431,12 @@
         if kept.plan != self.plan.digest:
             return
         self.life = int(kept.life)
-        for kind, name in ((kept.lent, "lent"), (kept.held, "held")):
-            for loan in kind:
-                if loan.limit < len(self.parts):
-                    getattr(self.parts[loan.limit], name)[loan.front] = Loan(loan.seq, loan.amount)
+        for n, parts in enumerate(self.parts):
+            lent, held = (
+                {loan.front: Loan(loan.seq, loan.amount) for loan in kind if loan.limit == n}
+                for kind in (kept.lent, kept.held)
+            )
+            parts.recall(lent, held)
 
     # what is seen from outside
 
--- a/lemonhall/halls/parts.py
+++ b/lemonhall/halls/parts.py
@@ -24,8 +24,11 @@
 
 @dataclass
 class Loan:
+    """`open`: the other has yet to hear of the last change here; it is told until its words show that."""
+
     seq: int = 0
     amount: int = 0
+    open: bool = True
 
 
 def own_part(number: int, fronts: int, whole: int = MILLION) -> int:
@@ -44,31 +47,56 @@
         self.unheard = set() if remembers else set(range(fronts)) - {number}
         self.used = 0
         self.need = 0
+        self.lent_sum = self.held_sum = 0
+        self.telling: set[int] = set()  # who may have to hear of an open loan
         self.dirty = False  # something that must not be forgotten has changed
 
     def mine(self) -> int:
         """What may be used here."""
-        own = 0 if self.unheard else self.own - sum(loan.amount for loan in self.lent.values())
-        return own + sum(loan.amount for loan in self.held.values())
+        return (0 if self.unheard else self.own - self.lent_sum) + self.held_sum
 
     def free(self) -> int:
         return self.mine() - self.used
 
+    def recall(self, lent: dict[int, Loan], held: dict[int, Loan]) -> None:
+        """What was kept of the life before."""
+        self.lent, self.held = lent, held
+        self.telling = {*lent, *held}
+        self.lent_sum = sum(loan.amount for loan in lent.values())
+        self.held_sum = sum(loan.amount for loan in held.values())
+
+    def set_lent(self, other: int, loan: Loan, seq: int, amount: int) -> None:
+        self.telling.add(other)
+        self.lent_sum += amount - loan.amount
+        loan.seq, loan.amount, loan.open = seq, amount, True
+        self.dirty = True
+
+    def to_tell(self) -> set[int]:
+        """Those who have yet to hear of a grant, or of what is given back to them."""
+        for n in [n for n in self.telling if not self.waits(self.lent, n) and not self.waits(self.held, n)]:
+            self.telling.discard(n)
+        return self.telling
+
+    @staticmethod
+    def waits(loans: dict[int, Loan], other: int) -> bool:
+        loan = loans.get(other)
+        return loan is not None and loan.open and loan.seq > 0
+
     # the others
 
     def reborn(self, other: int) -> None:
         """The other's process remembers nothing: what it held of this front's ended with it."""
         if loan := self.lent.get(other):
-            loan.seq, loan.amount = loan.seq + 1, 0
-            self.dirty = True
+            self.set_lent(other, loan, loan.seq + 1, 0)
         if loan := self.held.get(other):
             loan.seq = 0  # it counts its grants anew; what is held stays so until it has heard
 
     def granted(self, other: int, seq: int, amount: int) -> None:
         """Another's word on what it lends this front, said in its present life to ours."""
-        loan = self.held.setdefault(other, Loan())
+        loan = self.held.setdefault(other, Loan(open=False))
         if seq > loan.seq:
-            loan.seq, loan.amount = seq, amount
+            self.held_sum += amount - loan.amount
+            loan.seq, loan.amount, loan.open = seq, amount, False
             self.dirty = True
 
     def returned(self, other: int, seq: int, amount: int) -> None:
@@ -76,11 +104,11 @@
         loan = self.lent.setdefault(other, Loan())
         if other in self.unheard:
             self.unheard.discard(other)
-            loan.seq, loan.amount = max(loan.seq, seq) + 1, amount
-            self.dirty = True
-        elif seq == loan.seq and amount < loan.amount:
-            loan.seq, loan.amount = seq + 1, amount
-            self.dirty = True
+            self.set_lent(other, loan, max(loan.seq, seq) + 1, amount)
+        elif seq == loan.seq:
+            loan.open = False
+            if amount < loan.amount:
+                self.set_lent(other, loan, seq + 1, amount)
 
     def lend(self, other: int, asked: int) -> int:
         """Lends as much as is asked of what is free, at most half of it. What was lent."""
@@ -89,21 +117,22 @@
         if given <= 0 or self.unheard:
             return 0
         loan = self.lent.setdefault(other, Loan())
-        loan.seq, loan.amount = loan.seq + 1, loan.amount + given
-        self.dirty = True
+        self.set_lent(other, loan, loan.seq + 1, loan.amount + given)
         return given
 
     def own_free(self) -> int:
         """Of the own part alone: what is borrowed is not lent on."""
-        left = self.own - sum(loan.amount for loan in self.lent.values())
-        return max(0, min(left, self.free()))
+        return max(0, min(self.own - self.lent_sum, self.free()))
 
     def give_back(self, keep: int) -> None:
         """All that is free over `keep`, of what is held of others."""
         spare = self.free() - keep
-        for _, loan in sorted(self.held.items()):
+        for other, loan in self.held.items() if spare > 0 and self.held_sum else ():
             less = min(loan.amount, max(0, spare))
             if less:
                 loan.amount -= less
+                loan.open = True
+                self.telling.add(other)
+                self.held_sum -= less
                 spare -= less
                 self.dirty = True
--- a/lemonhall/halls/plan.py
+++ b/lemonhall/halls/plan.py
@@ -5,6 +5,7 @@
 import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Any, Protocol
 
 from lemonhall import interface as i
@@ -114,11 +115,11 @@
             warm_ms=terms.warm_ms,
         )
 
-    @property
+    @cached_property
     def limits(self) -> tuple[tuple[int, float], ...]:
         return tuple([(t.to, t.share) for t in self.tiers] + [(t.hall, t.links or 1.0) for t in self.intakes])
 
-    @property
+    @cached_property
     def digest(self) -> int:
         """Parts are of one whole only among fronts that go by the same tiers and intakes."""
         return zlib.crc32(repr((self.halls, self.tiers, self.intakes)).encode())
--- a/lemonhall/halls/reserve.py
+++ b/lemonhall/halls/reserve.py
@@ -14,7 +14,7 @@
 PERIOD_MS = 5000.0  # it is found anew this often (design)
 WINDOW_MS = 60_000.0  # memory of what asked
 FEW = 6.0  # asked for, under which nothing is kept
-SLOTS_MOST = 40  # more are taken in groups: the sum over slots grows with their square
+SLOTS_MOST = 24  # more are taken in groups: the sum over slots grows with their square
 GAIN = 0.1
 FIRST_LENGTH_MS = 40_000.0
 
--- a/lemonhall/halls/sight.py
+++ b/lemonhall/halls/sight.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -22,6 +23,7 @@
 
 BAD_PART = 0.5  # of the racks, and of the servers seen lately, on which attempts fail
 VOTES_LEAST = 3  # of other fronts, before most of them count
+VOTES_PART = 0.1  # of a notice: others' words are counted anew this often
 WORD_NOTICES = 4.0  # for so many notices another's word is fresh
 SLOW_PACE = 1.3  # the pace of a return lies by this under what cold servers can take
 
@@ -68,6 +70,10 @@
     state: State = State.UP
     since: float = 0.0
     why: str = ""
+    bad_at: float = float("-inf")  # the last that failed
+    ready_now: int = 0  # these three are found anew with each list
+    cells: set[int] = field(default_factory=set)
+    links: float = 0.0
     most: int = 0  # servers that were ready at once, lately
     most_at: float = 0.0
     heard_list: bool = False
@@ -84,23 +90,40 @@
     words: dict[int, tuple[State, float, float]] = field(
         default_factory=dict
     )  # by front: state, progress, at
+    votes: Counter[State] = field(default_factory=Counter)
+    counted_at: float = float("-inf")
     order: Order = Order.NONE
     order_at: float = 0.0
 
     # what is seen
 
-    def listed(self, now: float, lines: list[i.Server], others: bool, fresh: bool) -> None:
-        """The hall's lines of the list as it stands; `others`: it names ready servers elsewhere."""
-        plan, known = self.plan, self.servers
-        self.servers = {}
+    def hold(self, lines: list[i.Server], whole: bool) -> None:
+        """The hall's lines of the list: all of them, or those that have changed."""
+        plan, known = self.plan, dict(self.servers)
+        if whole:
+            self.servers = {}
         for line in lines:
+            if line.state == ServerState.GONE:
+                self.servers.pop(line.id, None)
+                continue
             kb = max(1.0, plan.link_kb_per_weight * line.weight)
             ready = line.state == ServerState.READY
             made = Server(line.cell, ready, plan.places(line), kb, line.ready_at)
             if (old := known.get(line.id)) and old.began == line.ready_at:
                 made.good_at, made.bad_at = old.good_at, old.bad_at
             self.servers[line.id] = made
-        ready_now = self.ready()
+        self.ready_now = sum(s.ready for s in self.servers.values())
+        self.cells = {s.cell for s in self.servers.values()}
+        self.links = sum(s.kb for s in self.servers.values())
+
+    def listed(self, now: float, lines: list[i.Server], others: bool, fresh: bool) -> None:
+        """The hall's lines of the list as it stands; `others`: it names ready servers elsewhere."""
+        self.hold(lines, True)
+        self.judge(now, others, fresh)
+
+    def judge(self, now: float, others: bool, fresh: bool) -> None:
+        """What the list says of the hall as a whole."""
+        plan, ready_now = self.plan, self.ready_now
         if fresh:
             self.gone = ready_now == 0 and others
             if not self.heard_list and ready_now:
@@ -110,10 +133,10 @@
             self.most, self.most_at = ready_now, now
 
     def ready(self) -> int:
-        return sum(s.ready for s in self.servers.values())
+        return self.ready_now
 
     def links_kb(self) -> float:
-        return sum(s.kb for s in self.servers.values())
+        return self.links
 
     def good(self, now: float, server: int) -> None:
         if known := self.servers.get(server):
@@ -121,7 +144,7 @@
 
     def bad(self, now: float, server: int) -> None:
         if known := self.servers.get(server):
-            known.bad_at = now
+            known.bad_at = self.bad_at = now
 
     def said(self, now: float, front: int, state: State, progress: float) -> None:
         self.words[front] = (state, progress, now)
@@ -133,9 +156,11 @@
         if self.gone:
             return "the list names no ready server of it" if self.most else "the list has never named it"
         span = 2 * self.plan.spilling.notice_ms
+        if self.bad_at <= now - span:
+            return ""
         lately = [s for s in self.servers.values() if max(s.good_at, s.bad_at) > now - span]
         bad = [s for s in lately if s.bad_at > s.good_at]
-        racks = {s.cell for s in self.servers.values()}
+        racks = self.cells
         bad_racks = {s.cell for s in bad}
         alive = {s.cell for s in lately if s.good_at >= s.bad_at}
         few = len(bad) < min(2, len(self.servers)) or len(bad_racks) < min(2, len(racks))
@@ -145,8 +170,11 @@
 
     def others_say(self, now: float, states: tuple[State, ...]) -> bool:
         """Most of those who have spoken lately, and enough of them."""
-        fresh = [s for s, _, at in self.words.values() if now - at < self.word_ms()]
-        return len(fresh) >= VOTES_LEAST and 2 * sum(s in states for s in fresh) > len(fresh)
+        if now - self.counted_at >= VOTES_PART * self.plan.spilling.notice_ms:
+            self.counted_at, since = now, now - self.word_ms()
+            self.votes = Counter(s for s, _, at in self.words.values() if at > since)
+        fresh = self.votes.total()
+        return fresh >= VOTES_LEAST and 2 * sum(self.votes[s] for s in states) > fresh
 
     def word_ms(self) -> float:
         return WORD_NOTICES * self.plan.spilling.notice_ms
--- a/lemonhall/model/fronts.py
+++ b/lemonhall/model/fronts.py
@@ -181,8 +181,6 @@
         """Words travel as those of members do: some are lost."""
         assert self.halls
         for out in self.halls.tick(self.world.sim.now):
-            if self.halls.dirty and self.world.day.keep:
-                self.halls_kept = self.halls.to_keep()
             other = self.world.fronts[out.to]
             self.world.peer_messages += 1
             draw = self.world.named.uniform("peers", f"{self.name}/{other.name}", self.world.peer_messages)
@@ -215,6 +213,8 @@
         self.up = False
         give = getattr(self.module, "memory", None)
         self.memory = give() if give and self.world.day.keep else None
+        if self.halls and self.world.day.keep:
+            self.halls_kept = self.halls.to_keep()  # each change was on disk before its words left
         asks, self.asks = self.asks, {}
         for ask in asks.values():
             if ask.attempt:
@@ -266,7 +266,7 @@
             else:
                 self.heard[line.id] = line
         if self.halls:
-            self.halls.listed(self.world.sim.now, list(self.heard.values()), as_of >= self.born)
+            self.halls.listed(self.world.sim.now, list(lines), as_of >= self.born, full)
         if as_of < self.born:
             self.tell(i.ServerList(i.ListKind.CACHED, version, tuple(self.heard.values())))
         else:
--- a/tests/halls/test_parts.py
+++ b/tests/halls/test_parts.py
@@ -162,21 +162,22 @@
 
 
 def no_number(self: Parts, other: int, seq: int, amount: int) -> None:
-    self.held.setdefault(other, Loan()).seq = seq
-    self.held[other].amount = amount
+    loan = self.held.setdefault(other, Loan())
+    self.held_sum += amount - loan.amount
+    loan.seq, loan.amount = seq, amount
 
 
 def any_number(self: Parts, other: int, seq: int, amount: int) -> None:
     loan = self.lent.setdefault(other, Loan())
     self.unheard.discard(other)
     if amount < loan.amount:
-        loan.seq, loan.amount = loan.seq + 1, amount
+        self.set_lent(other, loan, loan.seq + 1, amount)
 
 
 def not_gone(self: Parts, other: int, asked: int) -> int:
     given = min(asked, self.own_free() // 2)
     loan = self.lent.setdefault(other, Loan())
-    loan.seq, loan.amount = loan.seq + 1, given
+    self.set_lent(other, loan, loan.seq + 1, given)
     return given
 
 
