A return is paced by its servers' own warmth, shared by the fronts of its hall alone

Change: the pace is what each server can take by its start, and no more than the ramp allows; fronts tell their hall, and those of other halls do not count.

--- a/benchmarks/halls.py
+++ b/benchmarks/halls.py
@@ -22,6 +22,7 @@
 
 from lemonhall.audit.halls import of_halls  # noqa: E402
 from lemonhall.config.day import Day, read_day  # noqa: E402
+from lemonhall.halls import Sight  # noqa: E402
 from lemonhall.model.stats import bar  # noqa: E402
 from lemonhall.model.world import play  # noqa: E402
 
@@ -36,7 +37,7 @@
 takes-in "hall-a" links=(%)30
 takes-in "hall-b" links=(%)30
 takes-in "hall-c" links=(%)30
-spilling notice=(s)1 trial=(s)1 ramp=(s){ramp} slowest=4 forget=(s)60
+spilling notice=(s)1 trial=(s)1 ramp=(s)12 slowest=4 forget=(s)60
 """
 FAULTS = {
     "dark": 'fault "hall-dark" "hall-a" at=(s)14 for=(s)10\n',
@@ -66,7 +67,7 @@
         text += f'fault "fronts-apart" {" ".join(names)} at=(s)16 for=(s)28\n'
     if version != "without":
         at = text.index("route ")
-        text = text[:at] + NODES.format(ramp=12 if version == "halls" else 0.001) + text[at:]
+        text = text[:at] + NODES + text[at:]
     with tempfile.NamedTemporaryFile("w", suffix=".kdl") as file:
         file.write(text)
         file.flush()
@@ -77,7 +78,13 @@
     fronts, servers, fault, apart, version, seed = job
     day = day_of(fronts, servers, fault, apart, version)
     told = day if version != "without" else day_of(fronts, servers, fault, apart, "halls")
-    played = play(day, seed)
+    pace = Sight.pace
+    if version == "no ramp":
+        Sight.pace = lambda self, now: 1e9  # type: ignore[method-assign]
+    try:
+        played = play(day, seed)
+    finally:
+        Sight.pace = pace  # type: ignore[method-assign]
     # without the machine nothing is limited: what it would have been held against is the same
     found = of_halls(played.trace, replace(told, faults=day.faults))
     assert found
--- a/lemonhall/front/deciding/halls.py
+++ b/lemonhall/front/deciding/halls.py
@@ -32,11 +32,13 @@
 
 
 class HallsDesk:
-    """`cells`: of the service; `said`: told of each change, for the capture. Times of the loop, in ms."""
+    """`now`: the module's clock, by which the list tells starts. `cells`: of the service. `said`: told of
+    each change, for the capture."""
 
     def __init__(
         self,
         loop: Loop,
+        now: Callable[[], float],
         machine: Halls,
         cells: int,
         wall: Callable[[], float],
@@ -44,13 +46,10 @@
         disk: Disk | None,
         said: Callable[[str], object] = lambda words: None,
     ) -> None:
-        self.loop, self.machine, self.cells, self.wall = loop, machine, cells, wall
+        self.loop, self.now, self.machine, self.cells, self.wall = loop, now, machine, cells, wall
         self.carrier, self.disk, self.said = carrier, disk, said
         self.timer: Timer | None = None
 
-    def now(self) -> float:
-        return self.loop.now() * 1000
-
     def start(self) -> None:
         self.timer = self.loop.call_later(0.0, self.tick)
 
--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -324,7 +324,7 @@
     def open_halls(self) -> None:
         """The machine of halls, with what was kept of its parts; without a store it has to ask for them."""
         kept = self.keeper.load_halls() if self.keeper else None
-        s, now = self.settings, self.loop.now() * 1000
+        s, now = self.settings, self.now_ms()
         machine = Halls(
             Plan.of(s.terms),
             s.index,
@@ -337,7 +337,14 @@
             kept=kept or b"",
         )
         halls = self.asks.halls = HallsDesk(
-            self.loop, machine, s.terms.cells, self.wall, self.membership, self.keeper, self.hall_said
+            self.loop,
+            self.now_ms,
+            machine,
+            s.terms.cells,
+            self.wall,
+            self.membership,
+            self.keeper,
+            self.hall_said,
         )
         if self.membership:
             self.membership.on_halls = halls.heard
--- a/lemonhall/halls/machine.py
+++ b/lemonhall/halls/machine.py
@@ -113,6 +113,7 @@
         self.ramp = Bucket(at=now)
         self.sessions: dict[int, Held] = {}
         self.lives: dict[int, int] = {}
+        self.homes: dict[int, int] = {}  # of the others, as far as they have said
         self.answer: set[int] = set()  # fronts that are told something out of turn
         self.members: tuple[int, ...] = ()
         self.next_words = now + self.period() * random.random()
@@ -192,7 +193,7 @@
         if sight.state in (State.UP, State.FAILING):
             allowed.add(home)
         elif sight.state is State.RETURNING:
-            if self.ramp.fill(now, sight.pace(now) / self.fronts) >= 1.0:
+            if self.ramp.fill(now, sight.pace(now) / self.sharers()) >= 1.0:
                 self.ramp.left -= 1.0
                 held.turn = True
                 allowed.add(home)
@@ -217,6 +218,11 @@
         wish = (("zone", home),) if home in allowed and len(allowed) > 1 else ()
         return Ruling(bars, wish, cap, to)
 
+    def sharers(self) -> int:
+        """Fronts that a return is shared by: those of its hall, and those that have never said theirs. Who
+        falls silent is counted on: it may still be sending."""
+        return self.fronts - sum(home != self.home for home in self.homes.values())
+
     def take(self, now: float, held: Held, tier: Tier, terms: i.SessionClass) -> int:
         """Room under all limits of a tier, at the best rung that leaves some to others. The rung, or 99."""
         self.spilled_at = now
@@ -337,7 +343,8 @@
         return to
 
     def words(self, now: float, other: int) -> bytes:
-        made = Words(plan=self.plan.digest, life=self.life, to_life=self.lives.get(other, 0))
+        to_life = self.lives.get(other, 0)
+        made = Words(plan=self.plan.digest, life=self.life, to_life=to_life, home=self.home + 1)
         for n, parts in enumerate(self.parts):
             lent, held = parts.lent.get(other, Loan()), parts.held.get(other, Loan())
             if lent.seq or held.seq or held.amount or parts.need:
@@ -376,6 +383,8 @@
         if words.life < known:
             self.counts["old_life"] += 1
             return
+        if 0 < words.home <= len(self.sights):
+            self.homes[sender] = words.home - 1
         if words.life > known:
             self.lives[sender] = words.life
             for parts in self.parts:
--- a/lemonhall/halls/sight.py
+++ b/lemonhall/halls/sight.py
@@ -210,7 +210,7 @@
         elif held and why:
             self.flaps, self.flap_at = self.flaps + 1, now
             return self.turn(now, State.DARK, why)
-        elif self.progress(now) >= 1.0:
+        elif self.progress(now) >= 1.0 and self.warm(now):
             return self.turn(now, State.UP, "the ramp is done")
         return None
 
@@ -255,11 +255,27 @@
         return min(1.0, max(0.0, (now - self.ramp_from) / max(1.0, self.ramp_ms())))
 
     def pace(self, now: float) -> float:
-        """Set-ups a ms that all fronts together may send: what its servers could take if each were as warm as
-        the ramp is far (DESIGN, cold servers: places over the warm time, times the warmth)."""
-        done = max(self.plan.cold_from, self.progress(now))
-        places = sum(s.places for s in self.servers.values() if s.ready)
-        return places / max(1.0, self.plan.warm_ms) * done / SLOW_PACE
+        """Set-ups a ms that all fronts together may send: what its servers can take if each is as warm as it
+        is by its start, and no warmer than the ramp is far (DESIGN, cold servers: places over the warm time,
+        times the warmth)."""
+        done, warm = self.progress(now), max(1.0, self.plan.warm_ms)
+        taken = sum(
+            s.places * max(self.plan.cold_from, min(done, self.warmth(now, s)))
+            for s in self.servers.values()
+            if s.ready
+        )
+        return taken / warm / SLOW_PACE
+
+    def warmth(self, now: float, server: Server) -> float:
+        """By its start, as the list tells it."""
+        if server.began <= 0:
+            return 1.0
+        return min(1.0, max(0.0, now - server.began) / max(1.0, self.plan.warm_ms))
+
+    def warm(self, now: float) -> bool:
+        """Most of the servers that are there: a single one that has just started holds no hall back."""
+        ready = [s for s in self.servers.values() if s.ready]
+        return 2 * sum(self.warmth(now, s) >= 1.0 for s in ready) > len(ready)
 
     def trial_due(self, now: float) -> bool:
         """One session may try a dark hall whose servers are listed; less often with each that failed."""
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -296,3 +296,26 @@
     path.write_text(pool + text.replace(route, f'{route} pool="old"'))
     with pytest.raises(BadInput, match='pool "old": has no server in hall-b'):
         read_day(path)
+
+
+SPILL = """spill "hall-a" to="hall-b" share=(%)25
+takes-in "hall-b" links=(%)30 set-ups=20
+spilling ramp=(s)20
+"""
+
+
+def test_what_may_spill_is_told_in_the_operators_words(tmp_path: Path) -> None:
+    terms = (
+        TERMS.replace('halls "hall-a"', 'halls "hall-a" "hall-b"', 1) if '"hall-b"' not in TERMS else TERMS
+    )
+    old = put(tmp_path / "old", main=terms + SPILL + FRONT)
+    new = SPILL.replace("(%)25", "(%)40").replace("links=(%)30", "links=(%)50").replace("(s)20", "(s)5")
+    changed = changes(old, put(tmp_path / "new", main=terms + new + FRONT))
+    assert changed == [
+        "spill of hall-a to hall-b: share 25% to 40%"
+        "  DANGER: more of that hall's links may be taken by another's sessions",
+        "takes-in hall-b: links 30% to 50%  DANGER: it may be asked for more",
+        "spilling: ramp 20 s to 5 s  DANGER: servers that return are sent more at once",
+    ]
+    gone = changes(old, put(tmp_path / "gone", main=terms + FRONT))
+    assert any("spill of hall-a to hall-b: removed" in c and "DANGER" in c for c in gone)
--- a/tests/day/test_days.py
+++ b/tests/day/test_days.py
@@ -70,3 +70,14 @@
 def test_a_bad_day_file_exits_2_and_is_named(tmp_path: Path) -> None:
     code, _, said = play(tmp_path / "none.kdl")
     assert code == 2 and "none.kdl" in said
+
+
+@pytest.mark.parametrize("name", ["hall-dark", "hall-flap", "fronts-apart"])
+def test_a_hall_is_lost_and_regained_within_what_may_spill(name: str, tmp_path: Path) -> None:
+    code, report, said = play(DAYS / f"{name}.kdl", keep=tmp_path)
+    assert code == 0 and report["rules_broken"] == 0, said
+    assert 0 < report["spilled_most"] <= report["spilled_allowed"], said
+    assert report["returned_pushed_over"] == 0 and report["recovered_s"] >= 0, said
+    logs = "".join(p.read_text(encoding="utf-8") for p in tmp_path.glob("front-*.log"))
+    for state in ("dark", "returning", "up"):
+        assert f'"state": "{state}"' in logs
