--- a/lemonhall/front/deciding/halls.py
+++ b/lemonhall/front/deciding/halls.py
@@ -49,11 +49,14 @@
         self.loop, self.now, self.machine, self.cells, self.wall = loop, now, machine, cells, wall
         self.carrier, self.disk, self.said = carrier, disk, said
         self.timer: Timer | None = None
+        self.stopped = True
 
     def start(self) -> None:
+        self.stopped = False
         self.timer = self.loop.call_later(0.0, self.tick)
 
     def stop(self) -> None:
+        self.stopped = True
         if self.timer:
             self.timer.cancel()
 
@@ -105,6 +108,8 @@
 
     def send(self, words: list[Any]) -> None:
         """What must not be forgotten is on disk before a word of it leaves."""
+        if self.stopped:
+            return
         if not self.machine.dirty:
             self.leave(words)
         elif self.disk is None:
@@ -114,7 +119,7 @@
             self.disk.save_halls(self.machine.to_keep(), lambda why: self.leave(words) if not why else None)
 
     def leave(self, words: list[Any]) -> None:
-        if self.carrier is None:
+        if self.carrier is None or self.stopped:
             return
         for out in words:
             self.carrier.tell_front(out.to, Message(kind=HALLS, sender=self.carrier.number, halls=out.data))
--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -351,6 +351,11 @@
             halls.view(self.membership.machine.view())
         halls.start()
 
+    def stop_halls(self) -> None:
+        """Nothing more is said or written by this process."""
+        if self.asks.halls:
+            self.asks.halls.stop()
+
     def hall_said(self, words: str) -> None:
         if self.capture:
             self.capture.word(self.now_ms(), "halls", words)
@@ -427,6 +432,7 @@
             self.loop.watch(sock, 0, self.worker.accept)
         if self.membership:
             self.membership.pause()
+        self.stop_halls()
         if self.peers:
             self.loop.watch(self.peers.sock, 0, self.peers.on_ready)
 
@@ -436,12 +442,15 @@
             accept_on(self.loop, self.listeners[1], self.serve_status)
         if self.membership:
             self.membership.resume()
+        if self.asks.halls:
+            self.asks.halls.start()
         if self.peers:
             self.loop.watch(self.peers.sock, READ, self.peers.on_ready)
 
     def leave_front(self) -> None:
         """All has been handed over: this process goes, without a word to viewers, servers or other fronts."""
         self.stopping = True
+        self.stop_halls()
         self.list.wanted = False
         if self.list.stream:
             self.list.stream.abort()
@@ -537,6 +546,7 @@
     def leave(self) -> None:
         """Another decider is about to take over, with the same workers: goes without a word to anybody."""
         self.stopping = True
+        self.stop_halls()
         self.list.wanted = False
         self.builder.stop()
         if self.asks.recorder:
@@ -587,6 +597,7 @@
 
     def end(self) -> None:
         """The last: what the store and the capture still have to write is written."""
+        self.stop_halls()
         if self.workers:
             self.workers.close()
         if self.capture:
--- a/tests/front/test_halls.py
+++ b/tests/front/test_halls.py
@@ -102,3 +102,19 @@
     assert code == 2 and "no spill in the settings" in said
     code, said, _ = halls(plain, "show", "127.0.0.1:1")
     assert code == 2 and "no front answers there" in said
+
+
+@pytest.mark.parametrize("fields", ["", "workers=1"])
+def test_a_successor_holds_out_what_was_held_out(make: Make, fields: str) -> None:
+    site = make(fields=fields)
+    old = site.serve()
+    at = site.started(old)
+    assert site.viewer(at, "/browse/a")[1] == 200
+    halls(site, "hold", status_of(site, 0), "hall-a")
+    new = site.serve("--replace")
+    at = site.started(new)
+    told = halls(site, "show", status_of(site, 1))[2]
+    assert state(told, "hall-a")["held_out"]
+    assert site.viewer(at, "/browse/b")[1] in (453, 503)
+    assert len(site.open()) == 1
+    site.no_gap(site.open())
--- a/tests/halls/test_machine.py
+++ b/tests/halls/test_machine.py
@@ -6,6 +6,8 @@
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from lemonhall import decide
 from lemonhall import interface as i
@@ -239,3 +241,12 @@
         assert all(zones[s] not in bars for s in asked)
         assert bool(asked) == (len(bars) < 3)
         assert len(bars) < 3 or any(isinstance(a, i.Refuse) for a in actions)
+
+
+@given(st.binary(max_size=300))
+def test_no_bytes_of_another_front_end_it_or_move_a_part(data: bytes) -> None:
+    machine = made(fronts=2)
+    before = [p.mine() for p in machine.parts]
+    machine.hear(1.0, 1, data)
+    machine.tick(1000.0)
+    assert [p.mine() for p in machine.parts] == before  # nothing is lent without its plan and our life
--- a/tests/halls/test_return.py
+++ b/tests/halls/test_return.py
@@ -55,3 +55,28 @@
     monkeypatch.setattr(Parts, "free", lambda self: 1_000_000_000)
     report = played("hall-dark", 1, make=decide.Front).report
     assert report.halls["spilled_most"] > report.halls["spilled_allowed"]
+
+
+HARD = {
+    "a second hall goes while it carries the spill": 'fault "hall-dark" "hall-c" at=(s)5 for=(s)3',
+    "a front is killed and comes back in the outage": 'fault "front-killed" "front-2" at=(s)4 for=(ms)800',
+    "all fronts of another hall start anew in the return": (
+        'fault "front-killed" "front-4" "front-5" at=(ms)6500 for=(ms)400'
+    ),
+    "half of the hall stays away": 'fault "silent" "b0" "b2" at=(ms)6800 for=(s)9',
+    "a whole hall is deployed, announced": 'fault "deploy" "c0" "c1" "c2" "c3" at=(s)5 for=(ms)1500',
+    "the list lags": 'fault "list-lag" at=(s)2 for=(s)8 by=(s)2',
+}
+
+
+@pytest.mark.parametrize("what", HARD)
+@pytest.mark.parametrize("keep", [True, False])
+def test_hard_cases_keep_rules_and_limits(what: str, keep: bool, tmp_path: Path) -> None:
+    text = (DAYS / "hall-dark.kdl").read_text(encoding="utf-8") + HARD[what] + "\n"
+    path = tmp_path / "hard.kdl"
+    path.write_text(text.replace("seed=14", f"seed=14 keep=#{str(keep).lower()}"))
+    for seed in (1, 2):
+        report = play(read_day(path, (MANY,)), seed).report
+        assert report.rules_broken == 0, report.broken
+        assert report.halls["returned_pushed_over"] == 0
+        assert 0 < report.halls["spilled_most"] <= report.halls["spilled_allowed"], report.halls
