One listener for a successor in both kinds of front; spilled sessions stay at their floor while room lacks

Need: the side that is relieved stood twice, in guard.py and in workers/changing.py; and a front that lacked room under a limit let sessions over their floor all the same.

--- a/benchmarks/halls.py
+++ b/benchmarks/halls.py
@@ -1,6 +1,7 @@
 """Losing and regaining a hall in the model: with the machine of halls, without it, and without its ramp.
 
-    python benchmarks/halls.py [--fronts 200] [--seeds 50] [--processes 7]
+    python benchmarks/halls.py [--fronts 200] [--seeds 50] [--processes 7] [--fault flap] [--apart]
+    python benchmarks/halls.py --sockets --seeds 4
 
 The same traffic for each version of a seed, so differences are paired. Simulated servers and fronts.
 """
@@ -11,6 +12,7 @@
 import json
 import multiprocessing
 import re
+import subprocess
 import sys
 import tempfile
 from concurrent.futures import ProcessPoolExecutor
@@ -105,6 +107,38 @@
     }
 
 
+def on_sockets(seeds: int) -> None:
+    """The days of the examples as processes on loopback, with and without what may spill, in turn."""
+    for name in ("hall-dark", "hall-flap", "fronts-apart"):
+        text = (LARGE.parent / f"{name}.kdl").read_text(encoding="utf-8")
+        nodes = ("spill ", "takes-in ", "spilling ")
+        bare = "\n".join(line for line in text.splitlines() if not line.startswith(nodes))
+        found: dict[str, list[dict[str, Any]]] = {"halls": [], "without": []}
+        with tempfile.TemporaryDirectory() as folder:
+            for version, written in (("halls", text), ("without", bare)):
+                (Path(folder) / f"{version}.kdl").write_text(written, encoding="utf-8")
+            for seed in range(1, seeds + 1):
+                for version, rows in found.items():
+                    words = [sys.executable, "-m", "lemonhall", "day", f"{folder}/{version}.kdl", "--json"]
+                    done = subprocess.run(
+                        [*words, "--seed", str(seed)],
+                        capture_output=True,
+                        text=True,
+                        stdin=subprocess.DEVNULL,
+                    )
+                    rows.append(json.loads(done.stdout.strip().splitlines()[-1]))
+        with_, without = found["halls"], found["without"]
+        pairs = [a["service"] - b["service"] for a, b in zip(with_, without, strict=True)]
+        print(f"{name} on sockets, {seeds} seeds")
+        print(f"  halls {bar([r['service'] for r in with_])}, without {bar([r['service'] for r in without])}")
+        print(f"  halls less without {bar(pairs)}, paired")
+        print(f"  rules broken {[r['rules_broken'] for r in with_]} {[r['rules_broken'] for r in without]}")
+        over = max(r["spilled_most"] / r["spilled_allowed"] for r in with_)
+        pushed = sum(r["returned_pushed_over"] for r in with_)
+        back = [r["recovered_s"] for r in with_]
+        print(f"  spilled over allowed at most {over:.3f}, pushed over {pushed}, recovered in {back} s")
+
+
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument("--fronts", type=int, default=200)
@@ -114,7 +148,11 @@
     parser.add_argument("--fault", default="dark", choices=sorted(FAULTS))
     parser.add_argument("--apart", action="store_true")
     parser.add_argument("--versions", default=",".join(VERSIONS))
+    parser.add_argument("--sockets", action="store_true")
     args = parser.parse_args()
+    if args.sockets:
+        on_sockets(args.seeds)
+        return
     versions = args.versions.split(",")
     jobs = [
         (args.fronts, args.servers, args.fault, args.apart, version, seed)
--- a/lemonhall/front/guarding/guard.py
+++ b/lemonhall/front/guarding/guard.py
@@ -8,29 +8,25 @@
 from __future__ import annotations
 
 import base64
-import contextlib
 import os
 import socket
 from collections.abc import Callable, Sequence
-from dataclasses import fields
-from pathlib import Path
 from typing import Any
 
 import structlog
 
 from lemonhall.boxlist import Update
-from lemonhall.config.settings import LIVE_TERMS, FrontSettings
 from lemonhall.front.guarding import handover
-from lemonhall.front.guarding.relief import Do, Effect, Giver, Taker
+from lemonhall.front.guarding.giving import GivingSide, about
+from lemonhall.front.guarding.relief import Do, Effect, Taker
 from lemonhall.front.keeping.keeper import to_learned, to_memory
 from lemonhall.front.process.channel import Baton, Channel
 from lemonhall.front.process.daemon import Daemon, Taken
 from lemonhall.front.viewers.viewer import ViewerConnection
-from lemonhall.loop import Loop, Timer, listen
+from lemonhall.loop import Loop, Timer
 from lemonhall.store.store_pb2 import Learned
 
 log = structlog.get_logger("lemonhall.front")
-VERSION = 1
 PATIENCE_S = 3.0  # a successor that is silent for so long has its portion taken back
 AGAIN_S = 0.02  # connections that are not quiet are looked at again after
 CONNECTIONS = 16  # in one portion
@@ -53,76 +49,21 @@
 )
 
 
-def about(s: FrontSettings) -> dict[str, Any]:
-    """What must be the same at both, field by field: who the front is, and the terms of its service."""
-    own = {name: repr(getattr(s, name)) for name in ("name", "index", "hall", "listen", "store")}
-    terms = {f.name: repr(getattr(s.terms, f.name)) for f in fields(s.terms) if f.name not in LIVE_TERMS}
-    return {"version": VERSION, "workers": s.workers > 0, **own, **terms}
-
-
-def differences(ours: dict[str, Any], theirs: dict[str, Any]) -> list[str]:
-    names = sorted(ours.keys() | theirs.keys())
-    return [name.replace("_", " ") for name in names if ours.get(name) != theirs.get(name)]
-
-
-class Guard:
+class Guard(GivingSide):
     """At the front that serves: waits for a successor at `path`, and hands over when one asks."""
 
     def __init__(self, daemon: Daemon, path: str, point: Callable[[str], object] = lambda name: None) -> None:
         """Raises `OSError` if the path cannot be listened at."""
-        self.daemon, self.loop, self.path, self.point = daemon, daemon.loop, Path(path), point
-        self.giver = Giver()
-        self.channel: Channel | None = None
+        self.daemon = daemon
         self.baton: Baton | None = None
         self.frozen: list[ViewerConnection] = []
         self.patience: Timer | None = None
         self.look: Timer | None = None
         self.given = 0
-        self.listener: socket.socket | None = None
-        self.listen()
-
-    def listen(self) -> None:
-        with contextlib.suppress(FileNotFoundError):
-            self.path.unlink()  # of an earlier life; nobody who serves lets another come so far
-        self.listener = listen(self.loop, str(self.path), self.accept)
-        self.path.chmod(0o600)
-
-    def accept(self, sock: socket.socket, _: Any) -> None:
-        if self.channel is not None or self.daemon.stopping:
-            self.turn_away(sock)
-            return
-        self.channel = Channel(self.loop, sock, self.heard, self.ended)
+        super().__init__(daemon.loop, path, lambda: daemon.settings, point)
 
-    def turn_away(self, sock: socket.socket) -> None:
-        """With a word: a channel that just ends would say that this front is no more."""
-        other = Channel(self.loop, sock, lambda message, fds: None, lambda: None)
-        other.send({"refused": ["another change of guard is under way"]})
-
-    def heard(self, message: dict[str, Any], fds: list[int]) -> None:
-        for fd in fds:
-            os.close(fd)
-        if "hello" in message:
-            self.point("hello")
-            other = differences(about(self.daemon.settings), message["hello"])
-            if other:
-                log.warning("successor refused", other=other)
-                assert self.channel
-                self.channel.send({"refused": other})
-            self.carry_out(self.giver.asked(not other))
-        elif "tried" in message:
-            self.carry_out(self.giver.answered(message["tried"]))
-        elif "here" in message:
-            self.carry_out(self.giver.confirmed())
-
-    def ended(self) -> None:
-        self.channel = None
-        if self.giver.out is not None or self.giver.relieved:
-            log.warning("successor has ended")
-        self.carry_out(self.giver.gone())
-
-    def carry_out(self, effects: list[Effect]) -> None:
-        for effect in effects:
-            self.act(effect)
+    def busy(self) -> bool:
+        return self.daemon.stopping
 
     def act(self, effect: Effect) -> None:
         n = effect.portion
@@ -142,9 +83,7 @@
             self.next()
         elif effect.do is Do.SERVE:
             log.warning("serving again, the successor is no more")
-            if self.listener:
-                self.loop.watch(self.listener, 0, self.accept)
-                self.listener.close()
+            self.close_listener()
             self.listen()
             self.daemon.resume_front()
         elif effect.do is Do.DRAIN:
@@ -250,18 +189,6 @@
         log.info("handed over", viewers=self.given)
         self.daemon.leave_front()
 
-    def close(self) -> None:
-        if self.listener:
-            self.loop.watch(self.listener, 0, self.accept)
-            self.listener.close()
-            self.listener = None
-            if not self.giver.relieved:
-                with contextlib.suppress(FileNotFoundError):
-                    self.path.unlink()
-        if self.channel:
-            self.channel.close()
-            self.channel = None
-
 
 class GuardedDaemon(Daemon):
     """A front that may be relieved."""
--- a/lemonhall/front/workers/changing.py
+++ b/lemonhall/front/workers/changing.py
@@ -9,75 +9,38 @@
 
 from __future__ import annotations
 
-import os
 import socket
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 import structlog
 
-from lemonhall.front.guarding.guard import about, differences
-from lemonhall.front.guarding.relief import Do, Effect, Giver, Taker
+from lemonhall.front.guarding.giving import GivingSide, about
+from lemonhall.front.guarding.relief import Do, Effect, Taker
 from lemonhall.front.process.channel import Baton, Channel
 from lemonhall.front.workers.parent import Parent
-from lemonhall.loop import Timer, listen
+from lemonhall.loop import Timer
 
 log = structlog.get_logger("lemonhall.front")
 PATIENCE_S = 5.0
 POINTS = ("asked", "yielded", "sent", "unpacked", "owned", "told", "given", "over")
 
 
-class Giving:
+class Giving(GivingSide):
     """At the parent that is relieved; listens at the guard's path. Raises `OSError` if it cannot."""
 
+    hello = "asked"
+
     def __init__(self, parent: Parent, path: str, point: Callable[[str], object] = lambda name: None) -> None:
-        self.parent, self.loop, self.path, self.point = parent, parent.loop, Path(path), point
-        self.giver = Giver()
-        self.channel: Channel | None = None
+        self.parent = parent
         self.baton: Baton | None = None
         self.patience: Timer | None = None
-        self.listener: socket.socket | None = None
-        self.done = False
+        super().__init__(parent.loop, path, lambda: parent.settings, point)
         parent.on_yielded = self.yielded
         parent.on_ending = self.close
-        self.listen()
-
-    def listen(self) -> None:
-        self.path.unlink(missing_ok=True)
-        self.listener = listen(self.loop, str(self.path), self.accept)
-        self.path.chmod(0o600)
-
-    def accept(self, sock: socket.socket, _: Any) -> None:
-        if self.channel is not None or self.parent.ending or not self.parent.serving:
-            other = Channel(self.loop, sock, lambda message, fds: None, lambda: None)
-            other.send({"refused": ["another change of guard is under way"]})
-            return
-        self.channel = Channel(self.loop, sock, self.heard, self.ended)
-
-    def heard(self, message: dict[str, Any], fds: list[int]) -> None:
-        for fd in fds:
-            os.close(fd)
-        if "hello" in message:
-            self.point("asked")
-            other = differences(about(self.parent.settings), message["hello"])
-            if other:
-                log.warning("successor refused", other=other)
-                assert self.channel
-                self.channel.send({"refused": other})
-            self.carry_out(self.giver.asked(not other))
-        elif "tried" in message:
-            self.carry_out(self.giver.answered(message["tried"]))
-        elif "here" in message:
-            self.carry_out(self.giver.confirmed())
 
-    def ended(self) -> None:
-        self.channel = None
-        self.carry_out(self.giver.gone())
-
-    def carry_out(self, effects: list[Effect]) -> None:
-        for effect in effects:
-            self.act(effect)
+    def busy(self) -> bool:
+        return self.parent.ending or not self.parent.serving
 
     def act(self, effect: Effect) -> None:
         if effect.do is Do.HAND:
@@ -103,7 +66,6 @@
         elif effect.do is Do.OVER:
             self.point("over")
             log.info("relieved", workers=len(self.parent.workers()))
-            self.done = True
             self.close()
             self.parent.relieved()
 
@@ -127,20 +89,6 @@
         log.warning("successor is silent")
         self.carry_out(self.giver.answered(0))
 
-    def close_listener(self) -> None:
-        if self.listener:
-            self.loop.watch(self.listener, 0, self.accept)
-            self.listener.close()
-            self.listener = None
-
-    def close(self) -> None:
-        self.close_listener()
-        if not self.done and not self.giver.relieved:
-            self.path.unlink(missing_ok=True)
-        if self.channel:
-            self.channel.close()
-            self.channel = None
-
 
 class Taking:
     """At the parent that comes. `opened(anew)` is called at its turn, `refused(why)` if it is not wanted."""
--- a/lemonhall/halls/machine.py
+++ b/lemonhall/halls/machine.py
@@ -33,7 +33,7 @@
 PERIODS = 4.0  # of words, in a notice
 PERIOD_MOST_MS = 500.0
 FANOUT = 2  # others that are told each period, whoever they are
-WIDE_PART = 0.5  # of what is free: a session is let over its floor only for less
+WIDE_PART = 0.5  # of what is free: a session is let over its floor only for less, and while nobody lacks room
 NEED_MOST = 0.25  # of a limit, asked for at once
 EASE = 0.5  # of an unmet need that is still asked for after a period
 
@@ -258,7 +258,7 @@
         parts, reserve = self.parts[limit], self.reserves[limit]
         reserve.settle(now, parts.mine(), self.plan.classes)
         free = parts.free() - reserve.kept(premium)
-        return units <= (free if floor else WIDE_PART * free)
+        return units <= (free if floor else WIDE_PART * free * (not parts.need))
 
     def rate_left(self, now: float, limit: int) -> bool:
         """Of the set-ups a second that a hall takes in, this front has as much as it has of the links."""
