The model plays a front whose decider dies or stops, and a worker that ends

Need: what sockets show of a front with workers the model did not: decider-killed and its like were nothing there. Change: `model/deciders.py`: what plays goes on, what has not left is dropped, what has left goes on alone, the next decider hears all of it anew, after the gap that sockets show; a worker's end takes its part of the front's viewers.

--- a/lemonhall/model/fronts.py
+++ b/lemonhall/model/fronts.py
@@ -15,6 +15,7 @@
 from lemonhall.audit.trace import Attempt as Seen
 from lemonhall.halls import Halls, Plan
 from lemonhall.interface import NoteKind, Outcome, ServerState
+from lemonhall.model import deciders
 from lemonhall.model.fleet import Box
 from lemonhall.model.parts import Stage, Watcher
 
@@ -41,6 +42,7 @@
         self.number, self.viewer, self.token, self.moved = number, viewer, token, moved
         self.deadline = 0.0
         self.rung = self.attempts = 0
+        self.tries = 0  # attempts under whichever deciders
         self.attempt: Attempt | None = None
         self.answered = self.gone = False
         self.ran = False  # an attempt may have run
@@ -57,6 +59,7 @@
         self.report: tuple[float, ...] = ()
         self.seen: Seen | None = None
         self.began = front.world.sim.now
+        self.decider = front.decider  # under which it was made, or that was told of it
         self.timer: Any = None
 
     def refused(self) -> None:
@@ -137,6 +140,9 @@
         self.heard: dict[int, i.Server] = {}
         self.calls = 0
         self.memory: i.Memory | None = None  # what it had learned when it was killed, if that is kept
+        self.make: Make
+        self.decider = 0  # how many of its deciders have ended
+        self.headless = False  # none is there
         self.halls: Halls | None = None
         self.halls_kept = b""
         self.apart = False  # hears none that are not, nor do these hear it
@@ -146,6 +152,7 @@
     def start(self, make: Make) -> None:
         self.life += 1
         self.up, self.born = True, self.world.sim.now
+        self.make, self.headless = make, False
         self.asks, self.events, self.flushing = {}, [], False
         settings = self.world.module_settings(self.index)
         self.module = make(settings, self.world.seed * 100 + self.index)
@@ -170,12 +177,12 @@
             kept=self.halls_kept,
         )
         self.halls.members = tuple(range(len(day.fronts)))
-        sim.after(0.0, self.tick_halls, self.life)
+        sim.after(0.0, self.tick_halls, (self.life, self.decider))
 
-    def tick_halls(self, life: int) -> None:
-        if self.up and life == self.life and self.halls:
+    def tick_halls(self, whose: tuple[int, int]) -> None:
+        if self.up and whose == (self.life, self.decider) and self.halls and not self.headless:
             self.say_halls()
-            self.world.sim.after(self.halls.period(), self.tick_halls, life)
+            self.world.sim.after(self.halls.period(), self.tick_halls, whose)
 
     def say_halls(self) -> None:
         """Words travel as those of members do: some are lost."""
@@ -188,7 +195,7 @@
                 self.world.sim.after(PEER_MS, other.hear_halls, self.index, out.data)
 
     def hear_halls(self, sender: int, data: bytes) -> None:
-        if self.up and self.halls:
+        if self.up and self.halls and not self.headless:
             self.halls.hear(self.world.sim.now, sender, data)
             if self.halls.answer:
                 self.say_halls()
@@ -227,10 +234,23 @@
             if not ask.gone:
                 ask.viewer.lost()
 
+    def lose_part(self, count: int) -> None:
+        """One of so many workers ends: viewers and servers see connections break, the decider the ends."""
+        for ask in [a for a in self.asks.values() if a.number % count == 0]:
+            attempt = ask.attempt
+            if attempt and attempt.sent and not ask.answered and ask.viewer.has_claim:
+                ask.viewer.wish.claim_ran = True
+            viewer, gone = ask.viewer, ask.gone
+            self.viewer_gone(ask)
+            if attempt:
+                attempt.end(Outcome.CANCELLED)
+            if not gone:
+                viewer.lost()
+
     # the module
 
     def tell(self, event: i.Event) -> None:
-        if not self.up:
+        if not self.up or self.headless:
             return
         self.events.append(event)
         if not self.flushing:
@@ -238,7 +258,7 @@
             self.world.sim.after(self.world.PASS_MS, self.flush, self.life)
 
     def flush(self, life: int) -> None:
-        if self.up and life == self.life:
+        if self.up and life == self.life and self.flushing:
             self.flushing = False
             self.call()
 
@@ -265,7 +285,7 @@
                 self.heard.pop(line.id, None)
             else:
                 self.heard[line.id] = line
-        if self.halls:
+        if self.halls and not self.headless:
             self.halls.listed(self.world.sim.now, list(lines), as_of >= self.born, full)
         if as_of < self.born:
             self.tell(i.ServerList(i.ListKind.CACHED, version, tuple(self.heard.values())))
@@ -284,28 +304,29 @@
         ask.deadline = self.world.sim.now + left
         self.world.sim.at(ask.deadline + BACKSTOP_MS, self.overdue, ask)
         ran, advice = self.claim(ask) if not moved else (False, i.NO_ADVICE)
-        advice = self.advise(ask, advice)
+        self.tell(self.session_of(ask, ran, self.advise(ask, advice), left))
+        return ask
+
+    def session_of(self, ask: Ask, ran: bool, advice: i.Advice, left: float = 0.0) -> i.NewSession:
+        """As the module is told of it; `left`: ms to its deadline, 0: what is left of them now."""
+        wish = ask.viewer.wish
         title, first, cells = self.world.place_of(wish)
-        again = moved or wish.tries > 1
-        self.tell(
-            i.NewSession(
-                ask.number,
-                wish.cls,
-                wish.number,
-                title,
-                left,
-                wish.top,
-                first,
-                cells,
-                wish.tenant,
-                0.0,
-                moved,
-                again,
-                advice,
-                ran,
-            )
+        return i.NewSession(
+            ask.number,
+            wish.cls,
+            wish.number,
+            title,
+            left or max(1.0, ask.deadline - self.world.sim.now),
+            wish.top,
+            first,
+            cells,
+            wish.tenant,
+            0.0,
+            ask.moved,
+            ask.moved or wish.tries > 1,
+            advice,
+            ran,
         )
-        return ask
 
     def claim(self, ask: Ask) -> tuple[bool, i.Advice]:
         """A paid claim that comes again: its own front says whether it may have run, or nobody can."""
@@ -329,6 +350,12 @@
     def playing(self, ask: Ask, attempt: Attempt) -> None:
         took = self.world.sim.now - attempt.began
         ask.answered = True
+        if attempt.decider != self.decider or self.headless:  # one that is gone had allowed it
+            if not self.headless:
+                deciders.carry(self, ask)
+            if not ask.moved:
+                self.world.sim.after(self.world.hop(), ask.viewer.answer, ask.token, 200)
+            return
         self.tell(i.Playing(ask.number, attempt.number, attempt.server, took))
         if self.halls:
             self.halls.playing(self.world.sim.now, ask.number, attempt.server)
@@ -346,7 +373,13 @@
         ask.attempt = None
         if outcome not in NEVER_RAN:
             ask.viewer.wish.claim_ran = ask.viewer.has_claim
+        ask.ran |= outcome not in NEVER_RAN and attempt.sent
         closed = ask.answered or ask.gone
+        alone = self.headless or attempt.decider != self.decider
+        if alone and not closed:
+            if not self.headless:
+                deciders.again(self, ask)
+            return
         took = self.world.sim.now - attempt.began
         self.tell(
             i.AttemptEnded(ask.number, attempt.number, attempt.server, outcome, closed, took, attempt.report)
@@ -397,10 +430,11 @@
             return
         number = ask.attempts
         ask.attempts += 1
+        ask.tries += 1
         left = ask.deadline - self.world.sim.now
         limit = min(left, action.timeout_ms) if action.timeout_ms > 0 else left
         box = self.world.box_at(action.server)
-        over = number >= self.world.day.terms.max_attempts or ask.attempt is not None
+        over = ask.tries > self.world.day.terms.max_attempts or ask.attempt is not None
         if over or box is None or ask.answered or ask.gone:
             self.tell(i.AttemptEnded(action.id, number, action.server, Outcome.MOOT, False, 0.0))
             return
@@ -437,10 +471,10 @@
             ask.attempt.end(Outcome.CANCELLED)
 
     def do_timer(self, action: i.SetTimer) -> None:
-        self.world.sim.after(action.after_ms, self.due, action.token, self.life)
+        self.world.sim.after(action.after_ms, self.due, action.token, (self.life, self.decider))
 
-    def due(self, token: int, life: int) -> None:
-        if life == self.life:
+    def due(self, token: int, whose: tuple[int, int]) -> None:
+        if whose == (self.life, self.decider):
             self.tell(i.TimerDue(token))
 
     def do_probe(self, action: i.Probe) -> None:
--- a/lemonhall/model/viewers.py
+++ b/lemonhall/model/viewers.py
@@ -125,8 +125,10 @@
             self.again(None)
 
     def lost(self) -> None:
-        """Its connection broke: the front was killed."""
+        """Its connection broke: the front was killed, or the worker that it was at."""
         self.ask = None
+        if self.seen and not self.seen.answers:
+            self.seen.closed_at, self.seen.cut = self.world.sim.now, True
         if self.state == "playing" and self.seen:
             self.broken(self.seen.token)
         elif self.state != "away":
--- a/lemonhall/model/world.py
+++ b/lemonhall/model/world.py
@@ -17,6 +17,7 @@
 from lemonhall.config.routing import title_of
 from lemonhall.config.settings import FrontSettings
 from lemonhall.interface import ServerState
+from lemonhall.model import deciders
 from lemonhall.model.draws import Named, Wish, wishes
 from lemonhall.model.fleet import TRUE_RATES, Box, BoxList, Rack
 from lemonhall.model.fronts import Front, Make
@@ -25,6 +26,7 @@
 
 OVER_MS = 60_000.0  # behind the day's length, for its last viewers
 SAMPLE_MS = 1000.0
+HUNG_MS = 10_000.0  # as a parent waits for a decider that is silent
 
 
 @dataclass
@@ -210,9 +212,26 @@
         """A change of guard leaves sessions and what was learned as they were: here it is nothing."""
 
     def on_decider_killed(self, fault: FaultSpec, name: str) -> None:
-        """A front is one process here."""
+        """Of a front with workers; another has one process, and nothing befalls it."""
+        front = next(f for f in self.fronts if f.name == name)
+        if self.day.fronts[front.index].workers:
+            deciders.die(front)
+
+    def on_decider_stopped(self, fault: FaultSpec, name: str) -> None:
+        """Nothing is decided for so long; one that is stopped longer than that is held for hung."""
+        front = next(f for f in self.fronts if f.name == name)
+        if self.day.fronts[front.index].workers:
+            deciders.die(front, min(fault.for_ms, HUNG_MS))
+
+    def on_worker_killed(self, fault: FaultSpec, name: str) -> None:
+        """Its viewers end with it: one in so many of the front's."""
+        front = next(f for f in self.fronts if f.name == name)
+        if count := self.day.fronts[front.index].workers:
+            self.trace.worker_kills.append((self.sim.now, name))
+            front.lose_part(count)
 
-    on_decider_stopped = on_worker_killed = on_worker_stopped = on_decider_killed
+    def on_worker_stopped(self, fault: FaultSpec, name: str) -> None:
+        """A second or so of silence to some viewers, which nobody sees here: they play on."""
 
     def on_front_killed(self, fault: FaultSpec, name: str) -> None:
         front = next(f for f in self.fronts if f.name == name)
