A spilled session comes home where others lack the room that it takes

Change: where others say that they lack room under a limit and a session counts under it whose own hall is up again, one a period is wished home, in turns as a return is paced, once each, none that was paid for. The module hears Advice.move and moves it.

--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -373,6 +373,8 @@
             self.attach(s, box)
             if s.playing and s.rung > s.plan.top:
                 self.set_rung(s, s.plan.top)
+            if event.advice.move and s.playing and not s.paid:
+                self.out.append(i.Move(s.told.id))
 
     def on_fleet(self, event: i.Fleet) -> None:
         """Shares of quotas, cold pace and uplinks are of so many fronts from now on."""
--- a/lemonhall/front/deciding/asks.py
+++ b/lemonhall/front/deciding/asks.py
@@ -10,7 +10,7 @@
 import json
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from functools import partial
 from random import Random
 from typing import Any, Protocol
@@ -400,6 +400,12 @@
             ask.advice = merged
             self.bridge.tell(i.Advised(ask.number, merged))
 
+    def come_home(self, number: int) -> None:
+        """Its own hall is back, and others lack the room that it takes: the module may move it."""
+        ask = self.open.get(number)
+        if ask and ask.answered and not ask.moving:
+            self.bridge.tell(i.Advised(number, replace(ask.advice, move=True)))
+
     # what the module decides
 
     def memo(self, ask: Ask) -> bytes:
--- a/lemonhall/front/deciding/halls.py
+++ b/lemonhall/front/deciding/halls.py
@@ -50,6 +50,7 @@
         self.carrier, self.disk, self.said = carrier, disk, said
         self.timer: Timer | None = None
         self.stopped = True
+        self.on_move: Callable[[int], object] = lambda ask: None
 
     def start(self) -> None:
         self.stopped = False
@@ -104,8 +105,15 @@
     def tick(self) -> None:
         self.send(self.machine.tick(self.now()))
         self.tell_changes()
+        for ask in self.moves():
+            self.on_move(ask)
         self.timer = self.loop.call_later(TICK_PART * self.machine.period() / 1000, self.tick)
 
+    def moves(self) -> list[int]:
+        """Asks that had better come home, each told once."""
+        found, self.machine.moves = self.machine.moves, []
+        return found
+
     def send(self, words: list[Any]) -> None:
         """What must not be forgotten is on disk before a word of it leaves."""
         if self.stopped:
--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -346,6 +346,7 @@
             self.keeper,
             self.hall_said,
         )
+        halls.on_move = self.asks.come_home
         if self.membership:
             self.membership.on_halls = halls.heard
             halls.view(self.membership.machine.view())
--- a/lemonhall/halls/machine.py
+++ b/lemonhall/halls/machine.py
@@ -68,6 +68,8 @@
     premium: bool = False
     turn: bool = False  # of the ramp, not yet used
     trial: bool = False
+    safe: bool = False  # another set-up does no harm
+    plays: bool = False  # in another hall
     since: float = 0.0
 
 
@@ -119,6 +121,8 @@
         self.next_words = now + self.period() * random.random()
         self.spilled_at = float("-inf")
         self.changes: list[Change] = []
+        self.wanted: dict[int, float] = {}  # limits that others lack room under: when that was heard
+        self.moves: list[int] = []  # sessions that had better come home
         self.counts = Counter[str]()
         self.cheapest = min(c.worth for c in plan.classes)
         if kept:
@@ -187,7 +191,8 @@
         home, sight = self.home, self.sights[self.home]
         if row is not None and self.cells[home] and not row & self.cells[home]:
             return FREE  # its home has never had the title
-        terms, held = self.plan.classes[cls], Held(since=now)
+        terms = self.plan.classes[cls]
+        held = Held(since=now, safe=terms.repeat is Repeat.SAFE)
         held.premium = terms.worth > self.cheapest
         allowed: set[int] = set()
         if sight.state in (State.UP, State.FAILING):
@@ -283,6 +288,8 @@
         held = self.sessions.get(ask)
         if held and held.tier and self.by_server.get(server) == self.home:
             self.let_go(held)
+        elif held:
+            held.plays = True
 
     def carried(self, now: float, ask: int, cls: int, rung: int, server: int) -> None:
         """It plays already, under a process that is gone: what it takes elsewhere counts from here on."""
@@ -291,7 +298,8 @@
         links = self.sights[hall].links_kb()
         if tier is None or hall == self.home or links <= 0:
             return
-        terms, held = self.plan.classes[cls], Held(tier, since=now)
+        terms = self.plan.classes[cls]
+        held = Held(tier, since=now, safe=terms.repeat is Repeat.SAFE, plays=True)
         kb = self.plan.ladder_kb[min(rung, len(self.plan.ladder_kb) - 1)] * terms.scale
         for n in self.plan.limits_of(tier):
             held.units[n] = ceil(MILLION * kb / (self.plan.limits[n][1] * links))
@@ -325,6 +333,7 @@
         if now >= self.next_words:
             self.next_words = now + self.period()
             to |= self.round(now)
+            self.bring_home(now)
         return [Out(other, self.words(now, other)) for other in sorted(to)]
 
     def round(self, now: float) -> set[int]:
@@ -342,6 +351,22 @@
                 to |= set(self.random.sample(sorted(parts.unheard), min(FANOUT, len(parts.unheard))))
         return to
 
+    def bring_home(self, now: float) -> None:
+        """A move is worth it where others are refused for the room that a session takes here whose own hall
+        is back: one a period and limit, in turns as a return is paced, and none that was paid for."""
+        sight = self.sights[self.home]
+        for limit, at in list(self.wanted.items()):
+            if now - at > 2 * self.period():
+                del self.wanted[limit]
+            elif sight.state is State.UP and self.ramp.fill(now, sight.pace(now) / self.sharers()) >= 1.0:
+                for ask, held in self.sessions.items():
+                    if limit in held.units and held.plays and held.safe:
+                        held.safe = False  # once
+                        self.ramp.left -= 1.0
+                        self.moves.append(ask)
+                        self.counts["brought_home"] += 1
+                        break
+
     def words(self, now: float, other: int) -> bytes:
         to_life = self.lives.get(other, 0)
         made = Words(plan=self.plan.digest, life=self.life, to_life=to_life, home=self.home + 1)
@@ -400,6 +425,8 @@
         by_limit: dict[int, Any] = {p.limit: p for p in words.parts}
         for n, parts in enumerate(self.parts):
             part = by_limit.get(n)
+            if part and part.need:
+                self.wanted[n] = now
             parts.granted(sender, part.grant_seq if part else 0, part.grant if part else 0)
             parts.returned(sender, part.held_seq if part else 0, part.held if part else 0)
             lent = part is not None and part.need > 0 and parts.lend(sender, part.need) > 0
--- a/lemonhall/interface.py
+++ b/lemonhall/interface.py
@@ -157,6 +157,7 @@
     pause_ms: float = 0.0  # to be advised if it is refused; 0: as the settings say
     refuse: bool = False  # unless it has played
     bars: tuple[int, ...] = ()  # zones that it may not be set up in: a limit, which binds
+    move: bool = False  # off its server, if it plays and another set-up does no harm
 
 
 NO_ADVICE = Advice()
--- a/lemonhall/model/fronts.py
+++ b/lemonhall/model/fronts.py
@@ -187,7 +187,12 @@
     def say_halls(self) -> None:
         """Words travel as those of members do: some are lost."""
         assert self.halls
-        for out in self.halls.tick(self.world.sim.now):
+        words = self.halls.tick(self.world.sim.now)
+        moves, self.halls.moves = self.halls.moves, []
+        for number in moves:
+            if (ask := self.asks.get(number)) and ask.answered and not ask.gone:
+                self.tell(i.Advised(number, i.Advice(bars=(), move=True)))
+        for out in words:
             other = self.world.fronts[out.to]
             self.world.peer_messages += 1
             draw = self.world.named.uniform("peers", f"{self.name}/{other.name}", self.world.peer_messages)
--- a/tests/halls/test_machine.py
+++ b/tests/halls/test_machine.py
@@ -221,7 +221,7 @@
         machine.recall(data)
 
 
-def test_the_module_sends_nothing_to_a_hall_that_is_barred() -> None:
+def module() -> decide.Front:
     settings = i.Settings(
         classes=PLAN.classes,
         ladder_kb=PLAN.ladder_kb,
@@ -232,6 +232,11 @@
     )
     front = decide.Front(settings, 1)
     front.handle(0.0, [i.ServerList(i.ListKind.FULL, 1, tuple(fleet(0, 1, 2)))])
+    return front
+
+
+def test_the_module_sends_nothing_to_a_hall_that_is_barred() -> None:
+    front = module()
     zones = {s.id: s.zone for s in fleet(0, 1, 2)}
     for n in range(60):
         bars = ((), (0,), (0, 1), (0, 1, 2))[n % 4]
@@ -250,3 +255,43 @@
     machine.hear(1.0, 1, data)
     machine.tick(1000.0)
     assert [p.mine() for p in machine.parts] == before  # nothing is lent without its plan and our life
+
+
+def hear_need(machine: Halls, now: float, limit: int) -> None:
+    other = Halls(PLAN, 1, machine.fronts, 2, 1, Random(9), 0.0)
+    other.lives[0] = machine.life
+    other.parts[limit].need = 1000
+    machine.hear(now, 1, other.words(now, 0))
+
+
+def test_a_session_comes_home_where_others_lack_its_room_and_its_hall_is_back() -> None:
+    machine = made(fronts=2)
+    now = lose(machine, 1000.0, 1, 2)
+    for ask, cls in enumerate((PAID, SAFE, SAFE, SAFE)):
+        assert machine.ask(now, ask, cls).spill == 1
+        machine.playing(now, ask, 10)
+    hear_need(machine, now, 0)
+    machine.tick(now + 600)
+    assert machine.moves == []  # its hall is not back
+    machine.listed(now, fleet(0, 1, 2, ready_at=1.0), True)
+    while machine.sights[0].state is not State.UP:
+        now += 500
+        machine.tick(now)
+    assert machine.moves == []  # nobody lacks room
+    for _ in range(40):
+        now += machine.period()
+        hear_need(machine, now, 0)
+        machine.tick(now)
+    assert sorted(machine.moves) == [1, 2, 3] and machine.counts["brought_home"] == 3
+
+
+def test_the_module_moves_what_plays_and_was_not_paid_for() -> None:
+    front, moved = module(), []
+    for n, cls in enumerate((SAFE, PAID)):
+        told = i.NewSession(n, cls, n, n, 1000.0, 3, 0, 6)
+        asked = [a for a in front.handle(1.0, [told]) if isinstance(a, i.SetUp)]
+        advised = [i.Advised(n, i.Advice(move=True))]
+        moved += [a for a in front.handle(2.0, advised) if isinstance(a, i.Move)]  # it does not play yet
+        playing = i.Playing(n, 0, asked[0].server, 20.0)
+        moved += [a for a in front.handle(3.0, [playing, *advised]) if isinstance(a, i.Move)]
+    assert moved == [i.Move(0)]
