--- a/lemonhall/cli/halls.py
+++ b/lemonhall/cli/halls.py
@@ -61,19 +61,22 @@
     sys.exit(1 if any(h["state"] != "up" for h in told["halls"]) else 0)
 
 
-@halls.command()
-@click.argument("status")
-@click.argument("hall")
-@AS_JSON
-def hold(status: str, hall: str, as_json: bool) -> None:
-    """Nothing new is set up in HALL, by any front, until it is released; what plays there goes on."""
-    say(ask(status, f"/halls/hold?hall={quote(hall)}", "POST"), as_json)
+ORDERS = {
+    "hold": "Nothing new is set up in HALL, by any front, until it is released; what plays there goes on.",
+    "release": "HALL is let in again, by its ramp; its flaps are forgotten.",
+}
 
 
-@halls.command()
-@click.argument("status")
-@click.argument("hall")
-@AS_JSON
-def release(status: str, hall: str, as_json: bool) -> None:
-    """HALL is let in again, by its ramp; its flaps are forgotten."""
-    say(ask(status, f"/halls/release?hall={quote(hall)}", "POST"), as_json)
+def order(what: str) -> None:
+    """A command that gives an order to the front at STATUS, for all."""
+
+    @halls.command(what, help=ORDERS[what])
+    @click.argument("status")
+    @click.argument("hall")
+    @AS_JSON
+    def give(status: str, hall: str, as_json: bool) -> None:
+        say(ask(status, f"/halls/{what}?hall={quote(hall)}", "POST"), as_json)
+
+
+for each in ORDERS:
+    order(each)
