--- /dev/null
+++ b/lemonhall/front/node/servers.py
@@ -0,0 +1,332 @@
+"""Connections to media servers: several set-ups on one, and a line back for what stands.
+
+A connection belongs to a server's id, never to its address alone: another may have taken that since.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from lemonhall.interface import Outcome
+from lemonhall.loop import Handler, Loop, Stream, Timer
+from lemonhall.node import bounds, messages
+from lemonhall.node.lines import Lines, TooLong
+from lemonhall.node.messages import Bad, Down, Names, Note, Up
+from lemonhall.node.outcomes import GIVEN_UP
+
+if TYPE_CHECKING:
+    from lemonhall.front.node.sessions import Session
+
+NEVER = float("-inf")
+
+
+class Attempt:
+    """One set-up of a session at one server, from the module's word to its one end."""
+
+    __slots__ = ("began", "link", "number", "offset", "server", "session", "timer", "turns")
+
+    def __init__(self, session: Session, number: int, server: MediaServer, began: float) -> None:
+        self.session, self.number, self.server, self.began = session, number, server, began
+        self.link: Link | None = None
+        self.offset = 0  # of its first byte in what the link has written
+        self.turns = 0  # connections that broke before a byte of it was handed to the kernel
+        self.timer: Timer | None = None
+
+
+class Link(Handler):
+    """One connection to a media server."""
+
+    def __init__(self, server: MediaServer) -> None:
+        self.server, self.lines = server, Lines()
+        self.up = False
+        self.open: dict[str, Attempt] = {}
+        desk = server.desk
+        self.used = desk.loop.now()
+        self.half_since = 0.0
+        self.stream = Stream.connect(
+            desk.loop, server.address, self, desk.connect_s, bounds.BACKLOG_BYTES, bounds.GULP_BYTES
+        )
+
+    def connected(self) -> None:
+        self.up = True
+        self.used = self.server.desk.loop.now()
+        self.server.link_up(self)
+
+    def full(self) -> None:
+        # A server that reads nothing any more: what was written may have run, the rest waits for nobody.
+        self.stream.abort()
+
+    def data(self, view: memoryview) -> None:
+        desk = self.server.desk
+        self.used = desk.loop.now()
+        self.lines.feed(view)
+        try:
+            while self.stream.open and (line := self.lines.take()) is not None:
+                if line:
+                    desk.hear(self, messages.from_server(line, desk.names))
+        except (Bad, TooLong) as error:
+            # What comes behind an unreadable message cannot be told apart from noise: the connection goes,
+            # with the set-ups open on it; what stands belongs to no connection and lives on.
+            desk.counts["server_unreadable"] += 1
+            desk.say("unreadable from a server", server=self.server.id, why=str(error) or "too long")
+            self.stream.abort()
+
+    def closed(self, reason: str) -> None:
+        self.server.link_closed(self, reason)
+
+    def send(self, line: bytes) -> None:
+        self.used = self.server.desk.loop.now()
+        self.stream.write(line)
+
+    def put(self, attempt: Attempt, line: bytes) -> None:
+        attempt.link, attempt.offset = self, self.stream.written + self.stream.backlog
+        self.open[attempt.session.ref] = attempt
+        self.send(line)
+
+    def left(self, attempt: Attempt) -> bool:
+        """Whether any byte of it was handed to the kernel: if none was, it provably never ran."""
+        return self.stream.written > attempt.offset
+
+
+class MediaServer:
+    """A server as the list has it, with its connections and the sessions of this front there."""
+
+    def __init__(self, desk: Servers, name: str, number: int) -> None:
+        self.desk, self.id, self.number = desk, name, number
+        self.address: tuple[str, int] = ("", 0)
+        self.listed = False
+        self.started_ms = 0.0
+        self.links: list[Link] = []
+        self.waiting: deque[Attempt] = deque()  # for a connection
+        self.orders: dict[tuple[str, str], bytes] = {}  # for sessions that stand, until a connection is up
+        self.standing: dict[str, Session] = {}
+        self.heard_at = NEVER  # a word on a session that stands, or the begin of the first
+        self.up_at = NEVER  # a connection came up
+        self.broken_at = NEVER  # the last connection was lost while sessions stood
+        self.tried_at = NEVER
+
+    def submit(self, attempt: Attempt) -> None:
+        """Writes the set-up on a connection that has room, or has it wait for a new one."""
+        if link := self.usable():
+            self.write(link, attempt)
+            return
+        self.waiting.append(attempt)
+        self.dial()
+
+    def usable(self) -> Link | None:
+        now, desk = self.desk.loop.now(), self.desk
+        for link in self.links:
+            fresh = now - link.used < bounds.IDLE_PART * desk.idle_s  # else it may be closing at this moment
+            if link.up and link.stream.open and not link.stream.closing and fresh:
+                if len(link.open) < desk.streams:
+                    return link
+        return None
+
+    def write(self, link: Link, attempt: Attempt) -> None:
+        session = attempt.session
+        left_ms = (session.deadline - self.desk.loop.now()) * 1000
+        if attempt.timer:
+            left_ms = min(left_ms, (attempt.timer.when - self.desk.loop.now()) * 1000)
+        link.put(attempt, messages.set_up(session.asked, left_ms, session.rung))
+
+    def dial(self) -> None:
+        """One connection at a time, as many as the waiting need."""
+        if any(not link.up for link in self.links) or not self.address[1]:
+            return
+        self.tried_at = self.desk.loop.now()
+        if not self.desk.make_room():
+            self.desk.loop.call_soon(self.fail_waiting)
+            return
+        try:
+            self.links.append(Link(self))
+        except OSError as error:  # out of descriptors: nothing was sent
+            self.desk.say("no connection could be made", server=self.id, why=str(error))
+            self.desk.loop.call_soon(self.fail_waiting)
+
+    def link_up(self, link: Link) -> None:
+        self.up_at = self.desk.loop.now()
+        for line in self.orders.values():
+            link.send(line)
+        self.orders.clear()
+        while self.waiting and len(link.open) < self.desk.streams and not link.stream.closing:
+            self.write(link, self.waiting.popleft())
+        if self.waiting:
+            self.dial()
+
+    def link_closed(self, link: Link, reason: str) -> None:
+        desk = self.desk
+        if link in self.links:
+            self.links.remove(link)
+        never_up = not link.up
+        desk.counts[f"link_{reason}{'_new' if never_up else ''}"] += 1
+        if self.standing and not self.links and not never_up:
+            self.broken_at = desk.loop.now()
+        for attempt in list(link.open.values()):
+            if not link.left(attempt) and attempt.turns < 1:
+                attempt.turns += 1  # nothing of it left: the same attempt, on another connection
+                attempt.link = None
+                self.waiting.append(attempt)
+            else:
+                outcome = Outcome.RESET if link.left(attempt) else Outcome.CONNECT_FAILED
+                desk.on_ended(attempt, outcome, ())
+        link.open.clear()
+        if never_up:
+            self.fail_waiting()
+            if reason == "refused" and not any(other.up for other in self.links):
+                self.lose("refused")  # no process there: its sessions were cut
+        elif self.waiting:
+            self.dial()
+
+    def fail_waiting(self) -> None:
+        """No connection: what waits for one provably never ran."""
+        waiting, self.waiting = self.waiting, deque()
+        for attempt in waiting:
+            self.desk.on_ended(attempt, Outcome.CONNECT_FAILED, ())
+
+    def lose(self, why: str) -> None:
+        """The sessions here are over and nobody could say so."""
+        if self.standing:
+            self.desk.counts[f"lost_{why.replace(' ', '_')}"] += len(self.standing)
+            self.desk.say("sessions lost", server=self.id, why=why, sessions=len(self.standing))
+        for session in list(self.standing.values()):
+            self.desk.on_lost(session)
+        self.orders.clear()
+
+    def give_up(self, attempt: Attempt) -> bool:
+        """Ends the wait for an attempt; whether anything of it may have left. The connection stays."""
+        link, attempt.link = attempt.link, None
+        if link is None:
+            if attempt in self.waiting:
+                self.waiting.remove(attempt)
+            return False
+        link.open.pop(attempt.session.ref, None)
+        left = link.left(attempt) or link.stream.backlog > 0  # what waits to be written will still leave
+        link.send(messages.down(attempt.session.ref, GIVEN_UP))
+        return left
+
+    def order(self, session: Session, kind: str, line: bytes) -> None:
+        """For a session that stands: at once, or with the next connection; the newest of a kind counts."""
+        for link in self.links:
+            if link.up and link.stream.open and not link.stream.closing:
+                link.send(line)
+                return
+        self.orders[session.ref, kind] = line
+        self.dial()
+
+    def stands(self, session: Session) -> None:
+        if not self.standing:
+            self.heard_at = self.desk.loop.now()
+            self.broken_at = NEVER
+        self.standing[session.ref] = session
+
+    def falls(self, session: Session) -> None:
+        self.standing.pop(session.ref, None)
+        if not self.standing:
+            self.broken_at = NEVER
+        self.desk.forget(self)
+
+    def sweep(self, now: float) -> None:
+        """Closes what idles, keeps a line to what stands, finds out who is silent for good."""
+        desk = self.desk
+        for link in list(self.links):
+            if link.up and not link.open and now - link.used > bounds.IDLE_PART * desk.idle_s:
+                if not self.standing or any(o is not link and o.up for o in self.links):
+                    link.stream.close()
+                elif not any(not other.up for other in self.links):
+                    self.dial()  # first the new line, then the old one goes
+        if not self.standing:
+            return
+        silent = now - self.heard_at
+        if not self.links and now - self.tried_at > bounds.RECONNECT_S:
+            self.dial()
+        elif silent > desk.silence_s and self.up_at < now - desk.silence_s:
+            if now - self.tried_at > bounds.RECONNECT_S:
+                self.dial()  # whether it comes up tells whether the machine lives
+        # A machine that vanished says nothing and takes no connection. Where a connection broke and only a
+        # new one came up, somebody else may have taken the address: without a word it is the same.
+        if silent > bounds.LOST_AFTER_S and (
+            self.up_at < now - desk.silence_s or self.heard_at < self.broken_at
+        ):
+            self.lose("silent")
+
+
+class Servers:
+    """All media servers that are listed or hold sessions of this front.
+
+    `on_up`, `on_down`, `on_note` tell of the protocol; `on_ended` of an attempt's end, `on_lost` of a session
+    that stood and is over.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        names: Names,
+        streams: int,
+        idle_s: float,
+        connect_s: float,
+        notes_every_s: float,
+        most: int,
+        counts: Counter[str],
+        say: Callable[..., None],
+    ) -> None:
+        self.loop, self.names, self.counts, self.say = loop, names, counts, say
+        self.streams, self.idle_s, self.connect_s, self.most = streams, idle_s, connect_s, most
+        self.silence_s = max(bounds.SILENCE_FLOOR_S, min(notes_every_s, bounds.LOST_AFTER_S - 1.5))
+        self.by_id: dict[str, MediaServer] = {}
+        self.by_number: dict[int, MediaServer] = {}
+        self.next_number = 1
+        self.on_up: Callable[[Link, Up], None]
+        self.on_down: Callable[[Link, Down], None]
+        self.on_note: Callable[[Link, Note], None]
+        self.on_ended: Callable[[Attempt, Outcome, tuple[float, ...]], None]
+        self.on_lost: Callable[[Session], None]
+
+    def named(self, name: str) -> MediaServer:
+        """The server of an id; one that is not listed has no address until the list tells it."""
+        known = self.by_id.get(name)
+        if known is None:
+            known = MediaServer(self, name, self.next_number)
+            self.next_number += 1
+            self.by_id[name] = self.by_number[known.number] = known
+        return known
+
+    def forget(self, server: MediaServer) -> None:
+        """A server that has left the list goes with its last session."""
+        if server.listed or server.standing or server.waiting or any(k.open for k in server.links):
+            return
+        self.by_id.pop(server.id, None)
+        self.by_number.pop(server.number, None)
+        for link in list(server.links):
+            link.stream.close()
+
+    def hear(self, link: Link, message: object) -> None:
+        if isinstance(message, Up):
+            self.on_up(link, message)
+        elif isinstance(message, Down):
+            self.on_down(link, message)
+        elif isinstance(message, Note):
+            self.on_note(link, message)
+
+    @property
+    def connections(self) -> int:
+        return sum(len(server.links) for server in self.by_id.values())
+
+    def make_room(self) -> bool:
+        """Whether one more connection is within the budget; the one idle longest makes way."""
+        links = [link for server in self.by_id.values() for link in server.links]
+        if len(links) < self.most:
+            return True
+        idle = [link for link in links if link.up and not link.open]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda link: (bool(link.server.standing), link.used))
+        oldest.stream.close()
+        return True
+
+    def sweep(self) -> None:
+        now = self.loop.now()
+        for server in list(self.by_id.values()):
+            server.sweep(now)
+            self.forget(server)
--- /dev/null
+++ b/lemonhall/front/node/viewers.py
@@ -0,0 +1,163 @@
+"""Connections from viewers: set-ups and what ends them, tests, and releases that wait for a connection."""
+
+from __future__ import annotations
+
+import socket
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from lemonhall.loop import Handler, Loop, Stream, listen
+from lemonhall.node import bounds, messages
+from lemonhall.node.lines import Lines, TooLong
+from lemonhall.node.messages import Bad, Down, Names, NewSetUp, Test
+from lemonhall.node.outcomes import BAD_MESSAGE
+
+if TYPE_CHECKING:
+    from lemonhall.front.node.sessions import Session
+
+BAD_A_CONNECTION = 3  # messages that could be named but not used; then the connection is closed
+
+
+class Viewer(Handler):
+    """One connection from viewers; it may carry many sessions."""
+
+    def __init__(self, desk: Viewers, sock: socket.socket) -> None:
+        self.desk, self.lines = desk, Lines()
+        self.open: dict[str, Session] = {}  # set-ups that are owed an answer here
+        self.since = self.used = desk.loop.now()
+        self.half_since = 0.0  # when the message began that has no end yet
+        self.useful = False  # it brought a message that could be used
+        self.bad = 0
+        self.stream = Stream(desk.loop, sock, self, bounds.BACKLOG_BYTES, gulp=bounds.GULP_BYTES)
+
+    def data(self, view: memoryview) -> None:
+        desk = self.desk
+        self.used = desk.loop.now()
+        self.lines.feed(view)
+        try:
+            while self.stream.open and not self.stream.closing and (line := self.lines.take()) is not None:
+                if line.strip():
+                    self.hear(line)
+        except TooLong:
+            desk.counts["bad_too_long"] += 1
+            self.stream.abort()
+            return
+        if not self.lines.partial:
+            self.half_since = 0.0
+        elif not self.half_since:
+            self.half_since = self.used
+
+    def hear(self, line: bytes) -> None:
+        desk = self.desk
+        try:
+            message = messages.from_viewer(line, desk.names)
+        except Bad as bad:
+            self.refuse_bad(bad)
+            return
+        self.useful = True
+        if isinstance(message, NewSetUp):
+            if len(self.open) >= bounds.OPEN_A_CONNECTION or not desk.on_new(self, message):
+                # An answer under an id that is open would be that one's second answer: no word, a close.
+                desk.counts["bad_id"] += 1
+                self.stream.close()
+        elif isinstance(message, Down):
+            desk.on_down(self, message)
+        elif isinstance(message, Test):
+            self.send(messages.tested(message.ref, desk.serves()))
+
+    def refuse_bad(self, bad: Bad) -> None:
+        """An error under its own id where it has one that nobody else uses, else a close."""
+        desk = self.desk
+        desk.counts["bad_message"] += 1
+        desk.say("bad message from a viewer", why=bad.why)
+        self.bad += 1
+        if not bad.ref or desk.known(bad.ref) or self.bad >= BAD_A_CONNECTION:
+            self.stream.close()
+            return
+        self.send(messages.down(bad.ref, BAD_MESSAGE))
+
+    def send(self, line: bytes) -> None:
+        self.stream.write(line)
+
+    def full(self) -> None:
+        self.desk.counts["viewer_reads_nothing"] += 1
+        self.stream.abort()
+
+    def closed(self, reason: str) -> None:
+        self.desk.left(self)
+
+
+class Viewers:
+    """`on_new` is told of a set-up (False: not taken), `on_down` of its end, `on_left` of a closed connection."""
+
+    def __init__(
+        self, loop: Loop, names: Names, most: int, counts: Counter[str], say: Callable[..., None]
+    ) -> None:
+        self.loop, self.names, self.most, self.counts, self.say = loop, names, most, counts, say
+        self.links: dict[Viewer, None] = {}
+        self.waiting: deque[bytes] = deque(maxlen=bounds.WAITING_ENDS)  # releases, for the next connection
+        self.listener: socket.socket | None = None
+        self.serves: Callable[[], bool] = lambda: True
+        self.known: Callable[[str], bool] = lambda ref: False
+        self.on_new: Callable[[Viewer, NewSetUp], bool]
+        self.on_down: Callable[[Viewer, Down], None]
+        self.on_left: Callable[[Viewer], None]
+
+    def listen(self, address: tuple[str, int]) -> None:
+        """Raises `OSError`."""
+        self.listener = listen(self.loop, address, self.accept)
+
+    def stop_listening(self) -> None:
+        if self.listener:
+            self.loop.watch(self.listener, 0, self.accept)
+            self.listener.close()
+            self.listener = None
+
+    def accept(self, sock: socket.socket, peer: Any) -> None:
+        if len(self.links) >= self.most and not self.make_room():
+            self.counts["turned_away"] += 1
+            sock.close()
+            return
+        self.counts["accepted"] += 1
+        viewer = Viewer(self, sock)
+        self.links[viewer] = None
+        while self.waiting and viewer.stream.open:
+            viewer.send(self.waiting.popleft())
+
+    def make_room(self) -> bool:
+        """Guards usual viewers against connections by the hundred: the one of least use makes way."""
+        idle = [v for v in self.links if not v.open]
+        if not idle:
+            return False
+        least = min(idle, key=lambda v: (v.useful, v.used))
+        self.counts["evicted"] += 1
+        least.stream.close()
+        return True
+
+    def left(self, viewer: Viewer) -> None:
+        self.links.pop(viewer, None)
+        self.on_left(viewer)
+
+    def release(self, session: Session, line: bytes) -> None:
+        """What ends a session that stood: on its own connection, else on another, else on the next."""
+        own = session.viewer
+        if own and own.stream.open and not own.stream.closing:
+            own.send(line)
+            return
+        open_links = [v for v in self.links if v.stream.open and not v.stream.closing]
+        if open_links:
+            max(open_links, key=lambda v: (v.useful, v.used)).send(line)
+        else:
+            self.waiting.append(line)
+
+    def sweep(self) -> None:
+        """Closes what says nothing usable, what stops within a message, and what idles for long."""
+        now = self.loop.now()
+        for viewer in list(self.links):
+            half = viewer.half_since and now - viewer.half_since > bounds.HALF_LINE_S
+            silent = not viewer.useful and now - viewer.since > bounds.SILENT_S
+            idle = not viewer.open and now - viewer.used > bounds.VIEWER_IDLE_S
+            if half or silent or idle:
+                self.counts["closed_half" if half else "closed_silent" if silent else "closed_idle"] += 1
+                viewer.stream.close()
--- a/lemonhall/loop/stream.py
+++ b/lemonhall/loop/stream.py
@@ -48,8 +48,11 @@
         high: int = 1 << 18,
         connecting: bool = False,
         frozen: bool = False,
+        gulp: int = 0,
     ) -> None:
+        """`gulp`: bytes read in a turn of the loop, at most; 0: as many as the loop's buffer holds, and again."""
         self.loop, self.sock, self.handler, self.high = loop, sock, handler, high
+        self.gulp = gulp
         self.out: deque[memoryview | bytes] = deque()
         self.backlog = 0
         self.written = self.read = 0
@@ -66,14 +69,20 @@
 
     @classmethod
     def connect(
-        cls, loop: Loop, address: Address, handler: Handler, timeout_s: float, high: int = 1 << 18
+        cls,
+        loop: Loop,
+        address: Address,
+        handler: Handler,
+        timeout_s: float,
+        high: int = 1 << 18,
+        gulp: int = 0,
     ) -> Stream:
         """Starts a connection; `connected` or `closed` follows, never before this returns."""
         family = socket.AF_UNIX if isinstance(address, str) else socket.AF_INET
         if not isinstance(address, str) and ":" in address[0]:
             family = socket.AF_INET6
         sock = socket.socket(family, socket.SOCK_STREAM)
-        stream = cls(loop, sock, handler, high, connecting=True)
+        stream = cls(loop, sock, handler, high, connecting=True, gulp=gulp)
         error = sock.connect_ex(address)
         if error in (0, errno.EINPROGRESS):
             stream._timer = loop.call_later(timeout_s, stream._close, "timeout")
@@ -114,11 +123,12 @@
             self._flush()
 
     def _read(self) -> None:
-        buffer = self.loop.buffer
-        view = memoryview(buffer)
-        for _ in range(READS_A_TURN):
+        view = memoryview(self.loop.buffer)
+        if self.gulp:
+            view = view[: self.gulp]
+        for _ in range(1 if self.gulp else READS_A_TURN):
             try:
-                count = self.sock.recv_into(buffer)
+                count = self.sock.recv_into(view)
             except BlockingIOError:
                 return
             except OSError:
@@ -129,7 +139,7 @@
                 return
             self.read += count
             self.handler.data(view[:count])
-            if not self.open or self.paused or count < len(buffer):
+            if not self.open or self.paused or count < len(view):
                 return
 
     def write(self, data: bytes | memoryview) -> None:
--- a/lemonhall/wire.py
+++ b/lemonhall/wire.py
@@ -247,11 +247,11 @@
 }
 
 
-class _Pairs:
-    """The settings text as typed look-ups; unknown keys are never asked for."""
+class Pairs:
+    """The settings' pairs as typed look-ups; unknown keys are never asked for."""
 
-    def __init__(self, text: str) -> None:
-        self.pairs = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+    def __init__(self, pairs: dict[str, str]) -> None:
+        self.pairs = pairs
 
     def text(self, key: str, default: str | None = None) -> str:
         value = self.pairs.get(key)
@@ -283,7 +283,13 @@
 
 
 def read_settings(text: str) -> i.Settings:
-    p = _Pairs(text)
+    """Of the first message: a pair a line."""
+    return settings_of(dict(line.split("=", 1) for line in text.splitlines() if "=" in line))
+
+
+def settings_of(pairs: dict[str, str]) -> i.Settings:
+    """Settings by their paths, wherever they were written. Raises `WireError`."""
+    p = Pairs(pairs)
     rates = p.numbers("specifics.ratesKb", required=True)
     worths = p.numbers("specifics.levelWorth", required=True)
     if len(rates) != len(worths) or not rates:
