--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -9,6 +9,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import replace
+from operator import mul
 from random import Random
 from typing import Any
 
@@ -18,6 +19,8 @@
 ALPHA = 2  # sessions sub-rated for one premium session (the paper's alpha)
 QUOTA_PERIOD_MS = 5000.0  # the quotas of a server are picked anew this often (design)
 FEW_COUNTS = 6.0  # arrivals (decayed count) under which every slot stays in the pool
+QUOTA_GRAINS = 32  # steps in which reserves are enumerated: past so many slots a step is several of them
+SPLITS_KEPT = 256  # quotas remembered by their loads
 QUOTA_BURST_S = 5.0  # a tenant may be this far ahead of its told rate before it counts as over its share
 QUOTA_CHANCE = 3.0  # and by so many sessions more: what a front sees of a rate is subject to chance
 RATE_WINDOW_MS = 60000.0  # memory of arrival rates: a front of many sees few arrivals a minute
@@ -69,26 +72,29 @@
 def best_split(slots: int, high: float, low: float, v_high: float, v_low: float) -> tuple[int, int]:
     """The paper's Method II by enumeration: the reserves (premium, low) with the best pay-off.
 
-    Loads are in erlangs, penalties the worths; by the carried load a(1 - B) no inner sums are needed.
+    Loads are in erlangs, penalties the worths; by the carried load a(1 - B) no inner sums are needed. The cost
+    is that of the cube of the slots: where there are many, reserves are whole grains of slots (ours).
     """
+    grain = -(-slots // QUOTA_GRAINS)
     block_h, block_l = erlang(high, slots), erlang(low, slots)
     best, choice = float("-inf"), (0, 0)
     low_over = [low * block_l[n] for n in range(slots + 1)]
-    low_tables = [erlang(a, slots) for a in low_over]
-    for n_h in range(slots + 1):
+    low_tables = [erlang(low_over[n], slots - n) for n in range(0, slots + 1, grain)]
+    for n_h in range(0, slots + 1, grain):
         over_h = high * block_h[n_h]
         sub = erlang(over_h, slots // ALPHA)
         gain = [over_h * ((1 - b) * (v_high - v_low) - b * v_high) for b in sub]
+        gains = [gain[n // ALPHA] for n in range(slots, -1, -1)]
         terms = [1.0]
         for n in range(1, slots - n_h + 1):
             terms.append(terms[-1] * over_h / n)
-        for n_l in range(slots - n_h + 1):
+        for n_l in range(0, slots - n_h + 1, grain):
             pool = slots - n_h - n_l
-            over_l, table = low_over[n_l], low_tables[n_l]
-            blocked = list(enumerate(table[pool::-1]))
-            passed = [b * gain[(pool - n) // ALPHA] + over_l * (1 - 2 * b) * v_low for n, b in blocked]
-            value = sum(t * (n * v_high + p) for n, (t, p) in enumerate(zip(terms, passed, strict=False)))
-            pay = value / sum(terms[: pool + 1])
+            over_l, blocked = low_over[n_l] * v_low, low_tables[n_l // grain][pool::-1]
+            weight = sum(terms[: pool + 1])
+            passed = list(map(mul, terms, blocked))  # n premium sessions there, and the low ones blocked
+            value = sum(map(mul, passed, gains[slots - pool :])) - 2 * over_l * sum(passed)
+            pay = (value + v_high * over_h * sum(terms[:pool])) / weight + over_l
             pay += high * (1 - block_h[n_h]) * v_high + low * (1 - block_l[n_l]) * v_low
             if pay > best + 1e-9:
                 best, choice = pay, (n_h, n_l)
@@ -424,6 +430,8 @@
         slots = max(1, min(self.places(box.told), int(box.link.target * box.link.cap / box.slot_kb)))
         key = (slots, round(self.counts[1] * servers * 2), round(self.counts[0] * servers * 2))
         if key not in self.splits:
+            if len(self.splits) >= SPLITS_KEPT:  # for long: loads wander, and no table may grow with time
+                self.splits.clear()
             self.splits[key] = best_split(slots, key[1] / 2, key[2] / 2, self.worths[1], self.worths[0])
         box.quota = self.splits[key]
 
