What is open when the kill is near fails rather than go unanswered

Need: a request of up to 4 s that came just before the end of the wait after SIGTERM had no answer when the process ended.

--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -181,6 +181,7 @@
         if self.open and self.loop.now() - self.stopping_at < bounds.END_AFTER_TERM_S:
             self.loop.call_later(0.02, self.end_when_answered)
             return
+        self.sessions.fail_open()
         self.summary()
         self.loop.stop()
 
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -348,6 +348,12 @@
             left = self.end_wait(attempt)
             self.ended(attempt, Outcome.CANCELLED if left else Outcome.MOOT)
 
+    def fail_open(self) -> None:
+        """Guards what was taken against the kill after SIGTERM: it fails now rather than go unanswered."""
+        for session in [s for s in self.by_ref.values() if not s.standing]:
+            self.counts["failed_at_end"] += 1
+            self.final(session.number, messages.down, "failed", FAILED)
+
     def sweep(self) -> None:
         """Guards against a set-up that nobody decides on: it gets its answer by its deadline all the same."""
         now = self.loop.now()
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -281,6 +281,17 @@
     assert [m["t"] for m in world.told_of(ref)] == ["up", "shift"]
 
 
+def test_what_is_open_when_the_kill_is_near_fails_rather_than_go_unanswered(world: World) -> None:
+    ref = world.ask("premium", left="4000")["ref"]
+    world.set_up(ref)
+    world.loop.running = True
+    world.node.stop()
+    world.pass_s(3.4)
+    assert world.loop.running and not world.told_of(ref)
+    world.pass_s(0.2)
+    assert not world.loop.running and [m["c"] for m in world.told_of(ref)] == [47]
+
+
 def test_stopping_answers_what_was_taken_and_ends_by_itself(world: World) -> None:
     ref = world.ask()["ref"]
     _, link, _ = world.set_up(ref)
