--- a/tests/halls/test_return.py
+++ b/tests/halls/test_return.py
@@ -52,8 +52,10 @@
 
 
 def test_a_machine_that_lets_everybody_spill_is_seen_by_the_audit(monkeypatch: pytest.MonkeyPatch) -> None:
+    kept = played("hall-dark", 4, make=decide.Front).report
+    assert kept.halls["spilled_most"] <= kept.halls["spilled_allowed"]
     monkeypatch.setattr(Parts, "free", lambda self: 1_000_000_000)
-    report = played("hall-dark", 1, make=decide.Front).report
+    report = played("hall-dark", 4, make=decide.Front).report
     assert report.halls["spilled_most"] > report.halls["spilled_allowed"]
 
 
