--- a/tests/front/test_workers.py
+++ b/tests/front/test_workers.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -59,8 +60,11 @@
 
 
 def sockets(pid: int) -> int:
-    fds = Path(f"/proc/{pid}/fd")
-    return sum("socket:" in os.readlink(fd) for fd in fds.iterdir())
+    links = []
+    for fd in Path(f"/proc/{pid}/fd").iterdir():
+        with suppress(FileNotFoundError):  # closed since the folder was read
+            links.append(os.readlink(fd))
+    return sum("socket:" in link for link in links)
 
 
 class Page(Handler):
