--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import replace
+from itertools import islice
 from operator import mul
 from random import Random
 from typing import Any
@@ -171,6 +172,11 @@
         age = min(1.0, (now - self.heard_at) / FADE_MS)
         return (self.usual[2] + age * self.usual[1]) * self.span * self.told
 
+    def usual_room(
+        self, now: float
+    ) -> bool:  # as much as one that is not seen is taken to have, less the spread
+        return self.room(now) >= (self.target - self.usual[0] - self.usual[1]) * self.cap
+
     def fit(self, less: float = 0.0) -> float:
         """What it may be asked over what it was asked by the last report."""
         return max(0.0, self.target * self.cap - less) / max(1.0, self.others + self.base)
@@ -532,11 +538,7 @@
         good: list[Box] = []
         aside: list[Box] = []  # by advice
         spare: list[Box] = []  # known full, or for a paid session not known to serve
-        moved: dict[int, int] = {}
-        for n in range(min(LOOKS, len(holders))):  # in random order, drawn as far as it is needed
-            k = self.random.randrange(n, len(holders))
-            box = holders[moved.get(k, k)]
-            moved[k] = moved.get(n, n)
+        for box in islice(self.looks(s, holders), LOOKS):
             if box.told.state != ServerState.READY or box.told.id in s.tried:
                 drains = box.told.state != ServerState.READY
                 self.tell(s, box, i.Because.DRAINS if drains else i.Because.TRIED)
@@ -559,6 +561,23 @@
         pairs = [group[:2] for group in (good, aside)] if good or aside else [spare[:2]]
         return [b for pair in pairs for b in sorted(pair, key=lambda b: -self.part_free(b))]
 
+    def looks(self, s: Session, holders: list[Box]) -> Iterator[Box]:
+        """Holders in random order, drawn as far as they are asked for. Those with own sessions come first, as
+        long as they have the room that is usual for the unseen: their load is heard, a connection stands."""
+        cells, cell = self.settings.cells, s.told.first_cell
+        mine = [b for b in self.held if self.boxes.get(b.told.id) is b and b.told.zone not in s.advice.bars]
+        mine = [b for b in mine if s.told.cells >= cells or (b.told.cell - cell) % cells < s.told.cells]
+        mine = [b for b in mine if all(p.usual_room(self.now) for p in b.pipes)]
+        self.random.shuffle(mine)
+        yield from mine
+        moved: dict[int, int] = {}
+        for n in range(len(holders)):
+            k = self.random.randrange(n, len(holders))
+            box = holders[moved.get(k, k)]
+            moved[k] = moved.get(n, n)
+            if box not in mine:
+                yield box
+
     def part_free(self, box: Box) -> float:
         return min(p.room(self.now) / p.cap for p in box.pipes)
 
