--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,10 @@
 PY = .venv/bin/python
 READY = .venv/.lemonhall
 
+# What is compiled once is kept, also where the environment says otherwise: a day starts some ten processes.
+export PYTHONDONTWRITEBYTECODE =
+export PYTHONPYCACHEPREFIX = $(CURDIR)/.venv/pycache
+
 .PHONY: setup day test lint types bench proto clean
 
 setup: $(READY)
--- a/lemonhall/cli/config.py
+++ b/lemonhall/cli/config.py
@@ -11,12 +11,13 @@
 
 from lemonhall.config import pages
 from lemonhall.config.check import Typed
+from lemonhall.config.dayschema import DAY
 from lemonhall.config.document import read_bytes
 from lemonhall.config.formatter import Formatter
 from lemonhall.config.load import Tree
 from lemonhall.config.meaning import diff as differences
 from lemonhall.config.meaning import key_of, label, said
-from lemonhall.config.schema import DAY, SETTINGS, Spec
+from lemonhall.config.schema import SETTINGS, Spec
 from lemonhall.config.settings import read_tree
 from lemonhall.problem import BadInput
 
--- a/lemonhall/cli/day.py
+++ b/lemonhall/cli/day.py
@@ -15,6 +15,7 @@
 from lemonhall.config.formatter import format_text
 from lemonhall.day import DayFailed, play_day
 from lemonhall.day.frombench import from_bench
+from lemonhall.day.hunting import hunt
 from lemonhall.model.record import record as record_of
 from lemonhall.model.record import save
 from lemonhall.model.world import play
@@ -65,11 +66,35 @@
     click.echo(f"  in the model, {seeds} seeds: service {sum(services) / seeds:.3f} ({spread})")
 
 
+def hunted(
+    path: Path, count: int, seed: int, module: str, keep: Path | None, out: Path | None
+) -> Report | None:
+    """Plays PATH with drawn faults; writes the smallest schedule that breaks a rule, if one does."""
+    made = hunt(path, count, seed, module, keep, click.echo)
+    if made.report:
+        show(path.stem, made.report)
+    for note in made.notes:
+        click.echo(f"  ended: {note}")
+    if made.broken:
+        target = out or Path("found") / f"{path.stem}-{seed}.kdl"
+        target.parent.mkdir(parents=True, exist_ok=True)
+        target.write_text(made.text, encoding="utf-8")
+        what = ", ".join(sorted(made.broken))
+        click.echo(f"{len(made.left)} of {count} faults break {what} ({made.plays} plays): {target}")
+    return made.report
+
+
 @click.command()
 @click.argument("day", type=click.Path(path_type=Path))
 @click.option("--from-bench", "bench", is_flag=True, help="DAY is a bench's day (JSON), not one of ours.")
 @click.option(
-    "--out", type=click.Path(path_type=Path), default=None, help="Where a bench's day is written as ours."
+    "--out",
+    type=click.Path(path_type=Path),
+    default=None,
+    help="Where a bench's day is written as ours, or the day that is left of drawn faults.",
+)
+@click.option(
+    "--faults", type=click.IntRange(1, 200), help="So many drawn faults instead of the written ones."
 )
 @click.option("--seed", type=int, default=None, help="Another draw of the same day.")
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on the last line.")
@@ -80,6 +105,7 @@
     day: Path,
     bench: bool,
     out: Path | None,
+    faults: int | None,
     seed: int | None,
     as_json: bool,
     keep: Path | None,
@@ -92,8 +118,14 @@
         bench_day(day, ours)
         day = ours
     read = read_day(day)
+    module = str(Path(module).resolve()) if module else ""
+    if faults:
+        found = hunted(day, faults, read.seed if seed is None else seed, module, keep, out)
+        if as_json and found:
+            click.echo(json.dumps(found.to_json()))
+        sys.exit(1 if found is None or found.rules_broken else 0)
     try:
-        report = play_day(read, day, seed, keep, str(Path(module).resolve()) if module else "")
+        report = play_day(read, day, seed, keep, module)
     except DayFailed as error:
         raise click.ClickException(f"{day}: {error}") from error
     show(read.name, report)
--- a/lemonhall/cli/serve.py
+++ b/lemonhall/cli/serve.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -34,7 +35,7 @@
 from lemonhall.problem import BadInput
 
 CRASHED = 3
-DEAF = "LEMONHALL_DEAF"  # for days: a folder of files that say whom a front does not hear
+DEAF = "LEMONHALL_DEAF"  # for days: a folder of files that say whom a front does not hear, how its clock is
 DEAF_EVERY_S = 0.1
 
 
@@ -58,7 +59,8 @@
     if made.workers and not (check or kept):
         with_workers(made, settings, module, replace, die_at)
         return
-    daemon = GuardedDaemon(made, load_module(module) if module else decide.Front)
+    wall = Wall(made.name)
+    daemon = GuardedDaemon(made, load_module(module) if module else decide.Front, wall=wall)
     daemon.remember(str(settings), pickle.dumps(typed))
     daemon.point = guard.die_at(die_at) if not made.workers else daemon.point
     if check or kept or replace:
@@ -143,7 +145,9 @@
     control = socket.socket(fileno=given["control"])
     tree, sockets = wait_for_go(control)
     typed = pickle.loads(tree) if tree else read_tree(settings, SETTINGS)[1]
-    daemon = Daemon(make_settings(typed), load_module(module) if module else decide.Front)
+    made = make_settings(typed)
+    wall = Wall(made.name)
+    daemon = Daemon(made, load_module(module) if module else decide.Front, wall=wall)
     daemon.remember(str(settings), pickle.dumps(typed))
     daemon.asks.point = guard.die_at(die_at, asks.POINTS)
 
@@ -187,6 +191,8 @@
     daemon.hooks.on_load = lambda fine: say({"hooks": fine})
     if folder := os.environ.get(DEAF):
         hear_less(daemon, Path(folder) / f"{daemon.settings.name}.deaf")
+        if isinstance(daemon.wall, Wall):
+            daemon.wall.follow(daemon.loop)
     try:
         daemon.loop.run()
     except Exception as error:
@@ -195,6 +201,27 @@
     daemon.loop.close()
 
 
+class Wall:
+    """The system's clock; for days as far ahead as a file of the folder says, in ms, also while it runs."""
+
+    def __init__(self, name: str) -> None:
+        folder = os.environ.get(DEAF)
+        self.path = Path(folder) / f"{name}.clock" if folder else None
+        self.ahead_s = 0.0
+        self.look()
+
+    def __call__(self) -> float:
+        return time.time() + self.ahead_s
+
+    def look(self) -> None:
+        if self.path:
+            self.ahead_s = float(self.path.read_text()) / 1000 if self.path.exists() else 0.0
+
+    def follow(self, loop: Loop) -> None:
+        self.look()
+        loop.call_later(DEAF_EVERY_S, self.follow, loop)
+
+
 def hear_less(daemon: Daemon, path: Path) -> None:
     """For days: while the file is there, nothing is heard from the members' ports that it names."""
     if daemon.membership:
--- a/lemonhall/cli/standin.py
+++ b/lemonhall/cli/standin.py
@@ -8,6 +8,7 @@
 import click
 
 from lemonhall.config.day import read_day
+from lemonhall.links.process import Links
 from lemonhall.loop import Loop
 from lemonhall.standins.box import run_rack
 from lemonhall.standins.boxlist import ListService
@@ -17,7 +18,7 @@
 
 
 @click.command()
-@click.argument("kind", type=click.Choice(["box", "list", "viewers"]))
+@click.argument("kind", type=click.Choice(["box", "list", "viewers", "links"]))
 @click.argument("settings", type=click.Path(path_type=Path))
 @click.option("--tap", default="", help="File for what passes the sockets.")
 @click.option("--seed", type=int, default=1, show_default=True)
@@ -30,6 +31,8 @@
         command = ListService(loop, written, day.list_lag_ms).command
     elif kind == "viewers":
         command = Crowd(loop, written, day, seed).command
+    elif kind == "links":
+        command = Links(loop, written, day, seed).command
     else:
         spread = 1 + 0.25 * (2 * Random(f"{seed}/rack/{rack}").random() - 1)
         specs = [b for b in day.boxes if b.cell == rack]
--- a/lemonhall/config/check.py
+++ b/lemonhall/config/check.py
@@ -82,7 +82,7 @@
         made = []
         first: dict[Any, Node] = {}
         for node in nodes:
-            spec = find(specs, node.name)
+            spec = find(specs, node.name, len(node.args))
             if spec is None:
                 names = [s.name for s in specs] + ([] if inside else list(FRAME))
                 where = f" in {inside}" if inside else ""
--- a/lemonhall/config/day.py
+++ b/lemonhall/config/day.py
@@ -6,8 +6,8 @@
 from pathlib import Path
 
 from lemonhall.config.check import Typed, top
+from lemonhall.config.dayschema import DAY, LINK_FAULTS
 from lemonhall.config.formatter import dump
-from lemonhall.config.schema import DAY
 from lemonhall.config.settings import (
     TERM_NODES,
     HookSettings,
@@ -41,14 +41,41 @@
     length_ms: tuple[float, float]
 
 
+@dataclass(frozen=True)
+class Shape:
+    """What a link does to what passes: milliseconds, parts, kB a second (0: no limit)."""
+
+    delay_ms: float = 0.0
+    jitter_ms: float = 0.0
+    loss: float = 0.0
+    double: float = 0.0
+    reorder: float = 0.0
+    rate_kb: float = 0.0
+    cut: bool = False  # nothing passes, and no connection comes up
+    silent: bool = False  # connections come up, nothing passes
+
+
+@dataclass(frozen=True)
+class LinkSpec:
+    """What stands between two ends (processes, halls, kinds of process); both ways unless `one_way`."""
+
+    ends: tuple[str, str]
+    one_way: bool
+    shape: Shape
+
+
 @dataclass(frozen=True)
 class FaultSpec:
+    """`link`: of faults of links; `store`: what a killed front finds, `kept`, `lost`, `damaged`, `older`."""
+
     kind: str
     at_ms: float
     for_ms: float
     targets: tuple[str, ...]
     part: float
     by_ms: float
+    store: str = "kept"
+    link: LinkSpec | None = None
 
 
 @dataclass(frozen=True)
@@ -77,6 +104,12 @@
     text: str  # the terms' nodes as KDL, for the settings of fronts and stand-ins
     hooks: HookSettings = HookSettings()
     keep: bool = True  # fronts keep their state on disk
+    links: tuple[LinkSpec, ...] = ()  # that stand all day
+
+    @property
+    def linked(self) -> bool:
+        """Whether what passes between its processes goes by relays."""
+        return bool(self.links) or any(f.link for f in self.faults)
 
 
 def make_boxes(fleet: Typed, terms: Terms) -> tuple[BoxSpec, ...]:
@@ -108,6 +141,27 @@
     )
 
 
+def make_link(node: Typed, ends: tuple[str, str]) -> LinkSpec:
+    shape = Shape(
+        node["delay"],
+        node["jitter"],
+        node["loss"],
+        node["double"],
+        node["reorder"],
+        node["rate"],
+        cut=node.name == "cut",
+        silent=node.name == "silence",
+    )
+    return LinkSpec(ends, node["one-way"], shape)
+
+
+def make_fault(node: Typed) -> FaultSpec:
+    link = make_link(node, (node["from"], node["to"])) if node.name in LINK_FAULTS else None
+    by_ms = -node["by"] if node["back"] else node["by"]
+    rest = tuple(node.rest)
+    return FaultSpec(node.name, node["at"], node["for"], rest, node["part"], by_ms, node["store"], link)
+
+
 def read_day(path: str | Path, sets: Sets = ()) -> Day:
     """A day file. Raises `BadInput` with all that is wrong, each with file, line and column.
 
@@ -116,9 +170,7 @@
     tree, typed = read_tree(path, DAY, sets)
     terms = make_terms(typed)
     day, fleet, traffic = (next(top(typed, n)) for n in ("day", "fleet", "traffic"))
-    faults = [
-        FaultSpec(f.name, f["at"], f["for"], tuple(f.rest), f["part"], f["by"]) for f in top(typed, "fault")
-    ]
+    faults = [make_fault(f) for f in top(typed, "fault")]
     return Day(
         name=day.name,
         terms=terms,
@@ -138,7 +190,8 @@
         pause_ms=(traffic["pause-least"], traffic["pause-most"]),
         set_up_ms=(fleet["set-up-least"], fleet["set-up-most"]),
         fps=fleet["frames-per-second"],
-        text=dump([n for n in tree.nodes if n.name in TERM_NODES]),
+        text=dump([n for n in tree.nodes if n.name in TERM_NODES and not (n.name == "link" and n.args)]),
         hooks=make_hooks(typed),
         keep=day["keep"],
+        links=tuple(make_link(t, (t.args[0], t.args[1])) for t in top(typed, "link") if t.args),
     )
--- a/lemonhall/config/load.py
+++ b/lemonhall/config/load.py
@@ -171,7 +171,7 @@
     def apply_layer(self, nodes: list[Node], layer: Node, rank: str, specs: tuple[Spec, ...]) -> None:
         via = f"layer {rank}"
         for word in layer.live:
-            spec = find(specs, word.name)
+            spec = find(specs, word.name, len(word.args))
             found = [n for n in nodes if same(n, word, spec)]
             if not found:
                 made = deepcopy(word)
--- a/lemonhall/config/pages.py
+++ b/lemonhall/config/pages.py
@@ -4,7 +4,8 @@
 
 from typing import Any
 
-from lemonhall.config.schema import DAY, FRAME, LAYERS, NEEDED, SETTINGS, TERMS, Field, Spec
+from lemonhall.config.dayschema import DAY
+from lemonhall.config.schema import FRAME, LAYERS, NEEDED, SETTINGS, TERMS, Field, Spec
 from lemonhall.config.units import UNITS, show
 
 TIMES = {"one": "once", "maybe": "at most once", "some": "at least once", "any": "any number of times"}
--- a/lemonhall/config/rules.py
+++ b/lemonhall/config/rules.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from lemonhall.config.check import Typed, top
+from lemonhall.config.dayschema import ENDS, FAULTS, LINK_FAULTS
 from lemonhall.config.routing import BadPattern, compile_pattern
-from lemonhall.config.schema import FAULTS
 from lemonhall.config.units import show
 from lemonhall.problem import Problem, nearest
 
@@ -44,6 +44,7 @@
             self.days,
             self.quotas,
             self.faults,
+            self.links,
             self.spills,
         ):
             check()
@@ -58,7 +59,7 @@
             self.say(self.all("halls")[0], "", f'"{twice}" stands twice')
 
     def classes(self) -> None:
-        link = next((t["per-weight"] for t in self.all("link")), float("inf"))
+        link = next((t["per-weight"] for t in self.all("link") if not t.args), float("inf"))
         for c in self.all("class"):
             if c["floor"] >= len(self.rungs):
                 self.say(c, "floor", f"rung {c['floor']} of {len(self.rungs)}", "rungs are counted from 0")
@@ -194,6 +195,7 @@
                 for node, at in [
                     (members, members["listen"]),
                     *((s, s.args[0]) for s in members.all("seed")),
+                    *((v, at) for v in members.all("via") for at in v.args),
                 ]:
                     if isinstance(at, str) or not at[0].replace(".", "").isdigit():
                         self.say(node, "", "fronts find one another by UDP over IPv4", "write a.b.c.d:port")
@@ -246,9 +248,13 @@
         partners = [p.name for p in self.all("partner")]
         targets = {"uplink": racks, "front-killed": fronts, "surge": partners, "list-lag": []}
         parts = [f"{who}-{what}" for who in ("decider", "worker") for what in ("killed", "stopped")]
-        targets |= dict.fromkeys(["front-relieved", "fronts-apart", *parts], fronts)
+        whole = ["front-relieved", "fronts-apart", "front-frozen", "front-clock"]
+        targets |= dict.fromkeys([*whole, *parts], fronts)
         targets |= dict.fromkeys(["hall-dark", "hall-flap"], self.halls)
         for fault in self.all("fault"):
+            if fault.name in LINK_FAULTS:
+                self.ends(fault, [(end, fault[end]) for end in ("from", "to")])
+                continue
             if fault.name in ("hooks", "reload"):
                 folder = Path(fault.node.spot.file).resolve().parent
                 for target in fault.rest:
@@ -263,6 +269,26 @@
             if not fault.rest and fault.name != "list-lag":
                 self.say(fault, "", "names nothing that it befalls", FAULTS[fault.name])
 
+    def links(self) -> None:
+        for link in (t for t in self.all("link") if t.args):
+            self.ends(link, [("", str(end)) for end in link.args])
+
+    def ends(self, node: Typed, named: list[tuple[str, str]]) -> None:
+        """The two ends of a link: names that stand for a process, between which something passes at all."""
+        fronts = [name for f in self.all("front") for name in f.names]
+        boxes = [name for f in self.all("fleet") for b in f.all("box") for name in b.names]
+        known = [*fronts, *boxes, *self.halls, *ENDS]
+        for field, end in named:
+            if not end:
+                self.say(node, field, "is missing", "a front, a server, a hall, or " + ", ".join(ENDS))
+            elif end not in known:
+                self.say(node, field, f'"{end}" is no end of a link', nearest(end, known))
+        told = {end for _, end in named}
+        if node.rest:
+            self.say(node, "", "its ends are from and to", "take the names out")
+        if len(told & {"list", "viewers", "boxes", *boxes}) == 2 or told in ({"list"}, {"viewers"}):
+            self.say(node, "", "nothing passes between these two", "one end is a front, or a hall")
+
     def spills(self) -> None:
         """Tiers that lead nowhere, or ask for more than a hall has."""
         into: dict[str, float] = {}
--- a/lemonhall/config/settings.py
+++ b/lemonhall/config/settings.py
@@ -137,6 +137,9 @@
     keys: Path
     period_ms: float
     seeds: tuple[tuple[str, int], ...]
+    via: tuple[
+        tuple[tuple[str, int], tuple[str, int]], ...
+    ] = ()  # own address of another, where it is reached
 
 
 @dataclass(frozen=True)
@@ -355,7 +358,7 @@
         ladder_worth=tuple(r["worth"] for r in rungs),
         routes=routes_of(typed, names),
         normal_paths=value("paths", "normal"),
-        link_kb_per_weight=one("link")["per-weight"],
+        link_kb_per_weight=next(t for t in top(typed, "link") if not t.args)["per-weight"],
         racks=count,
         uplink_kb=one("racks")["uplink"],
         cells=value("titles", "cells") or count,
@@ -431,7 +434,9 @@
         return None
     keys = Path(node.node.spot.file).resolve().parent / node["keys"]
     seeds = tuple(s.args[0] for s in node.all("seed"))
-    return MemberSettings(node["listen"], keys, node["period"], seeds)
+    return MemberSettings(
+        node["listen"], keys, node["period"], seeds, tuple((v.args[0], v.args[1]) for v in node.all("via"))
+    )
 
 
 def make_capture(node: Typed | None) -> CaptureSettings:
--- a/lemonhall/front/deciding/membership.py
+++ b/lemonhall/front/deciding/membership.py
@@ -72,8 +72,14 @@
         config: Config | None = None,
         sock: socket.socket | None = None,
         told: tuple[int, int] | None = None,
+        via: tuple[tuple[tuple[str, int], tuple[str, int]], ...] = (),
     ) -> None:
-        """Raises `OSError` if the address is taken. `sock`, `told`: of a front that this one relieves."""
+        """Raises `OSError` if the address is taken. `sock`, `told`: of a front that this one relieves.
+
+        `via`: fronts that are reached, and heard, at another address than their own, which all know them by.
+        """
+        self.through = dict(via)
+        self.known_as: dict[Any, tuple[str, int]] = {through: at for at, through in via}
         self.loop, self.tell, self.number = loop, tell, number
         self.sock = sock or socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         if sock is None:
@@ -113,6 +119,8 @@
                 continue
             if sender[1] in self.deaf_to:
                 continue
+            if sender in self.known_as:
+                sender = self.known_as[sender]
             try:
                 message = self.keys.open(data)
             except BadSeal as error:
@@ -165,9 +173,9 @@
 
     def send(self, out: list[Send]) -> None:
         for each in out:
-            host = str(ipaddress.IPv4Address(each.to[0]))
+            at = str(ipaddress.IPv4Address(each.to[0])), each.to[1]
             try:
-                self.sock.sendto(self.keys.seal(each.data), (host, each.to[1]))
+                self.sock.sendto(self.keys.seal(each.data), self.through.get(at, at))
             except OSError:  # nobody there, or no way: the machine finds out by silence
                 continue
 
--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -291,6 +291,7 @@
                 Config(period_ms=s.members.period_ms, answer_ms=0.3 * s.members.period_ms),
                 taken.members,
                 tuple(taken.message["fleet"]) if taken.message and taken.message["fleet"] else None,
+                s.members.via,
             )
         self.asks.claims = Claims(self.loop, self.keeper, self.membership)
         if self.membership:
--- a/lemonhall/standins/box.py
+++ b/lemonhall/standins/box.py
@@ -54,7 +54,7 @@
     def data(self, view: memoryview) -> None:
         for event in self.parser.feed(view):
             if isinstance(event, Request):
-                self.box.tap.message(self.box.who, self.conn, "in", event)
+                self.box.tap.message(self.box.who, self.conn, "in", event, self.stream.read)
                 self.via = event.headers.get("Via").rpartition(" ")[2] or self.via
                 self.box.on_request(self, event)
             elif isinstance(event, Malformed):
@@ -192,9 +192,9 @@
             conn.stream.abort()
         say(died=self.spec.name, life=self.life, why=why)
 
-    def accept(self, sock: socket.socket, _: Any) -> None:
+    def accept(self, sock: socket.socket, peer: Any) -> None:
         self.next_conn += 1
-        self.tap.write(self.who, self.next_conn, "open", life=self.life)
+        self.tap.write(self.who, self.next_conn, "open", life=self.life, port=peer[1])
         self.conns.add(Connection(self, sock, self.next_conn))
 
     # load
--- a/lemonhall/standins/boxlist.py
+++ b/lemonhall/standins/boxlist.py
@@ -23,6 +23,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.agent = ""
         self.following = False
+        self.port = sock.getpeername()[1]
         self.stream = Stream(service.loop, sock, self)
 
     def data(self, view: memoryview) -> None:
@@ -45,6 +46,11 @@
         self.push(Update(version=self.service.version, full=True, boxes=boxes, as_of_ms=as_of))
 
     def push(self, update: Update) -> None:
+        through = self.service.through.get(self.agent)
+        if through and update.boxes:
+            update = Update.FromString(update.SerializeToString())
+            for box in update.boxes:
+                box.address = through.get(box.address, box.address)
         body = delimit(update)
         self.stream.write(f"{len(body):x}\r\n".encode() + body + b"\r\n")
         if not update.boxes and not update.full:
@@ -52,7 +58,15 @@
         told = {str(b.id): int(b.state) for b in update.boxes}
         started = {str(b.id): b.started_ms for b in update.boxes}
         self.service.tap.write(
-            "list", self.conn, "told", front=self.agent, full=update.full, boxes=told, started=started
+            "list",
+            self.conn,
+            "told",
+            front=self.agent,
+            full=update.full,
+            boxes=told,
+            started=started,
+            port=self.port,
+            sent=self.stream.written + self.stream.backlog,
         )
 
     def closed(self, reason: str) -> None:
@@ -67,6 +81,7 @@
         self.version = 1
         self.public: dict[int, Box] = {}
         self.followers: set[Follower] = set()
+        self.through: dict[str, dict[str, str]] = {}  # of a front that reaches boxes elsewhere: where each is
         self.conns = 0
         self.due = 0.0
         self.pending: deque[float] = deque()  # when each change that is held back came in
@@ -81,6 +96,8 @@
     def command(self, asked: dict[str, Any]) -> None:
         if asked["do"] == "lag":
             self.lag_ms = asked["ms"]
+        elif asked["do"] == "through":
+            self.through.setdefault(asked["front"], {}).update(asked["addresses"])
         elif asked["do"] == "change":
             self.due = max(self.due, self.loop.now() + (0.0 if asked.get("now") else self.lag_ms / 1000))
             self.pending.append(time.time() * 1000)
--- a/lemonhall/standins/tap.py
+++ b/lemonhall/standins/tap.py
@@ -40,8 +40,10 @@
             }
             self.file.write(json.dumps(record, separators=(",", ":")) + "\n")
 
-    def message(self, who: str, conn: int, way: str, message: Request | Response) -> None:
-        """A message that came in (`in`) or went out (`out`)."""
+    def message(
+        self, who: str, conn: int, way: str, message: Request | Response, read: int | None = None
+    ) -> None:
+        """A message that came in (`in`) or went out (`out`). `read`: bytes of its connection up to it."""
         headers = {name: message.headers.get(name) for name in KEPT if name in message.headers}
         body = message.body.decode(errors="replace") if len(message.body) < 200 else ""
         if isinstance(message, Request):
@@ -55,6 +57,7 @@
                 cseq=message.cseq,
                 headers=headers,
                 body=body,
+                **({} if read is None else {"read": read}),
             )
         else:
             self.write(
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -10,10 +10,11 @@
 
 from lemonhall.config import read_settings
 from lemonhall.config.day import read_day
+from lemonhall.config.dayschema import DAY
 from lemonhall.config.document import read_text
 from lemonhall.config.formatter import dump
 from lemonhall.config.meaning import diff
-from lemonhall.config.schema import DAY, SETTINGS
+from lemonhall.config.schema import SETTINGS
 from lemonhall.config.settings import FrontSettings, fixed_changes, make_settings, read_tree
 from lemonhall.problem import BadInput
 from tests.front.world import TERMS
