--- a/benchmarks/front.py
+++ b/benchmarks/front.py
@@ -213,7 +213,7 @@
     words.add_argument("--seconds", type=float, default=3.0)
     words.add_argument("--cycles", type=int, default=2000)
     words.add_argument("--sizes", type=int, nargs="*", default=[100, 500, 1000, 2000])
-    words.add_argument("--only", choices=["relay", "set_ups", "growth", "workers"])
+    words.add_argument("--only", choices=["relay", "set_ups", "growth"])
     chosen = words.parse_args()
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
@@ -221,11 +221,6 @@
             print("relay", json.dumps(relay(folder, chosen.seconds)), flush=True)
         if chosen.only in (None, "set_ups"):
             print("set_ups", json.dumps(set_ups(folder, chosen.cycles)), flush=True)
-        if chosen.only == "workers":
-            from benchmarks import workers
-
-            workers.measure(folder, chosen.cycles, chosen.seconds)
-            return
         if chosen.only in (None, "growth"):
             growth(folder, chosen.sizes, chosen.cycles // 4)
 
--- a/benchmarks/workers.py
+++ b/benchmarks/workers.py
@@ -1,13 +1,15 @@
-"""A front of several workers, measured: `benchmarks/front.py --only workers`. Ratios, in one run each."""
+"""A front of several workers, measured: `python -m benchmarks.workers`. Ratios, in one run each."""
 
 from __future__ import annotations
 
+import argparse
 import json
 import os
 import pickle
 import signal
 import socket
 import statistics
+import tempfile
 import time
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
@@ -245,3 +247,16 @@
     for n, part in enumerate(parts):
         (folder / str(n)).mkdir()
         part(folder / str(n))
+
+
+def main() -> None:
+    words = argparse.ArgumentParser(description=__doc__)
+    words.add_argument("--seconds", type=float, default=3.0)
+    words.add_argument("--cycles", type=int, default=2000)
+    chosen = words.parse_args()
+    with tempfile.TemporaryDirectory() as name:
+        measure(Path(name), chosen.cycles, chosen.seconds)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -175,6 +175,14 @@
     assert len(folders) > 5 and circles(folders) == []
 
 
+def test_no_benchmarks_import_one_another_in_a_circle() -> None:
+    arrows: dict[str, set[str]] = {}
+    for path in sorted((ROOT.parent / "benchmarks").glob("*.py")):
+        told = imports(ast.parse(path.read_text(encoding="utf-8")))
+        arrows[f"benchmarks.{path.stem}"] = {n for n in told if n.startswith("benchmarks.")}
+    assert len(arrows) > 5 and circles(arrows) == []
+
+
 def test_the_search_for_circles_finds_one() -> None:
     assert circles({"a": {"b"}, "b": {"c"}, "c": {"b"}, "d": {"a"}}) == [["b", "c"]]
 
