--- a/lemonhall/model/world.py
+++ b/lemonhall/model/world.py
@@ -23,6 +23,7 @@
 from lemonhall.model.fronts import Front, Make
 from lemonhall.model.sim import Sim
 from lemonhall.model.viewers import Viewer
+from lemonhall.problem import BadInput
 
 OVER_MS = 60_000.0  # behind the day's length, for its last viewers
 SAMPLE_MS = 1000.0
@@ -52,6 +53,8 @@
     module_s: float = 0.0
     wishes: list[Wish] = field(default_factory=list)
 
+ON_SOCKETS = ("front-frozen", "front-clock")  # of processes
+
 
 class World:
     SEEN_MS = 500.0  # after which whoever keeps the list has seen that a process is gone
@@ -66,6 +69,10 @@
         timer: Callable[[], float] = time.perf_counter,
         asked: list[Wish] | None = None,
     ) -> None:
+        """Raises `BadInput` for a day with faults that are played on sockets alone."""
+        left = {f.kind for f in day.faults if f.link or f.kind in ON_SOCKETS} | {"link" for _ in day.links}
+        if left:
+            raise BadInput(day.name, f"the model does not play {', '.join(sorted(left))}: take them out")
         self.day, self.seed, self.make, self.timer = day, seed, make, timer
         self.sim = Sim()
         self.named = Named(seed)
--- a/tests/links/test_relay.py
+++ b/tests/links/test_relay.py
@@ -124,6 +124,15 @@
     assert len(site.door.plug_ports) < PLUGS
 
 
+def test_without_its_plugs_a_listener_would_take_connections_during_a_cut(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Door, "plug", lambda door: None)
+    site.door.reshape(CUT, CUT)
+    late = site.client()
+    site.until(lambda: up(late))
+
+
 def test_a_silent_link_takes_connections_and_passes_nothing(site: Site) -> None:
     site.door.reshape(Shape(silent=True), Shape(silent=True))
     near = site.client()
--- a/tests/model/test_model.py
+++ b/tests/model/test_model.py
@@ -303,3 +303,8 @@
     assert [p["value"] for p in made["points"]] == ["1", "12"]
     wrong = run(group, ["model", "run", str(SHORT), "--set", "class clam-view seats=1", "--workers", "1"])
     assert isinstance(wrong.exception, BadInput) and "did you mean class claim-view?" in str(wrong.exception)
+
+
+def test_a_day_of_links_is_for_sockets_and_the_model_says_so() -> None:
+    with pytest.raises(BadInput, match="does not play cut, front-clock, front-frozen, link, reset"):
+        play(read_day(DAYS / "links.kdl"), 1)
