A store whose pages are damaged is set aside; the front starts with a new one

Three logs: lmdb.CorruptedError: Located page was wrong type, from Keeper.lost at the start; two: Address already in use. Change: Store walks every key in a child before it opens (sound.py), moves what cannot be read to damaged-N.mdb and begins anew under another number, so that claims of the old one count as run.

--- a/lemonhall/cli/store.py
+++ b/lemonhall/cli/store.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import click
+import lmdb
 
 from lemonhall.problem import BadInput
 from lemonhall.store import BadRecord, Standing, Store, Token
@@ -30,9 +31,13 @@
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on the last line.")
 def check(folder: Path, as_json: bool) -> None:
     """Read every record; exit 1 if one is damaged or of a newer version."""
-    file = opened(folder)
-    found = file.look()
-    file.close()
+    try:
+        file = opened(folder)
+        found = file.look()
+        file.close()
+    except lmdb.Error as error:  # pages themselves are damaged: no record behind them can be named
+        click.echo(f"  bad: the file itself: {error}")
+        sys.exit(1)
     assert found.about
     counts = {name: found.counts[name] for name in KINDS}
     standings = {s.name.lower(): found.standings[s] for s in Standing}
--- a/lemonhall/day/runner.py
+++ b/lemonhall/day/runner.py
@@ -90,7 +90,8 @@
         self.held: list[socket.socket] = []
         self.serving: set[str] = set()
         self.apart: set[str] = set()  # fronts that hear none of the others
-        self.down: set[str] = set()  # fronts that were killed and are not back
+        self.down: set[str] = set()  # fronts that were killed and do not serve yet
+        self.gone: set[str] = set()  # those of them that were not started again yet
         self.done = self.ending = False
         self.old: list[Child] = []  # processes that were relieved
         self.flushed = 0
@@ -446,6 +447,9 @@
         """Drawn with the arrivals."""
 
     def on_front_killed(self, fault: FaultSpec, front: str, after_s: float) -> None:
+        if front in self.gone:
+            return  # nobody is there to be killed; it comes back as the first kill had it
+        self.gone.add(front)
         self.down.add(front)
         self.serving.discard(front)
         self.loaded(front)
@@ -456,6 +460,7 @@
 
     def come_back(self, front: str, store: str) -> None:
         """A front that was killed starts anew, with what it finds on disk."""
+        self.gone.discard(front)
         if not self.ending:
             state.find(self.folder, front, store, Random(f"{self.seed}/{front}"))
             self.start_front(front)
--- a/lemonhall/front/keeping/keeper.py
+++ b/lemonhall/front/keeping/keeper.py
@@ -124,7 +124,13 @@
     ) -> None:
         self.loop, self.settings, self.random, self.memory, self.wall = loop, settings, random, memory, wall
         self.store = Store(
-            Path(settings.folder), front, settings.size, random.getrandbits(32), wall() * 1000, lock=lock
+            Path(settings.folder),
+            front,
+            settings.size,
+            random.getrandbits(32),
+            wall() * 1000,
+            lock=lock,
+            aside=True,
         )
         self.number = int(self.store.about.store)
         self.pending: dict[bytes, tuple[Record, int]] = {}  # claims on their way to the disk
@@ -132,6 +138,10 @@
         self.ledger.pruned_s = int(self.store.about.pruned_s)
         self.writer = Writer(loop, self.store)
         self.counts = Counter[str]()
+        if self.store.damaged:
+            meaning = "a new store is begun; paid claims of the old one count as run"
+            log.error("store damaged", folder=str(settings.folder), why=self.store.damaged, means=meaning)
+            self.counts["set_aside"] += 1
         self.failing = ""
         self.on_turn: Callable[[bool], object] = lambda failing: None  # of writing
         self.prune_timer: Timer | None = None
@@ -275,7 +285,7 @@
         """What was kept; `b""` if nothing ever was; None if it is damaged."""
         value = self.store.raw("learned", HALLS)
         if value is None:
-            return b""
+            return None if self.store.damaged else b""
         if value[:8] != xxhash.xxh3_64_digest(value[8:]):
             self.counts["damaged"] += 1
             log.error("what was kept of halls is damaged")
--- a/lemonhall/model/world.py
+++ b/lemonhall/model/world.py
@@ -53,6 +53,7 @@
     module_s: float = 0.0
     wishes: list[Wish] = field(default_factory=list)
 
+
 ON_SOCKETS = ("front-frozen", "front-clock")  # of processes
 
 
--- a/lemonhall/store/file.py
+++ b/lemonhall/store/file.py
@@ -20,6 +20,7 @@
 import lmdb
 
 from lemonhall.problem import BadInput
+from lemonhall.store import sound
 from lemonhall.store.records import BadRecord, unwrap, wrap
 from lemonhall.store.store_pb2 import About, Claim, Held, Learned
 
@@ -46,7 +47,8 @@
 class Store:
     """Raises `BadInput` that names the folder if it cannot be opened, is in use or of a newer version.
 
-    `lock`: the descriptor of a lock that a predecessor hands over, in place of taking one.
+    `lock`: the descriptor of a lock that a predecessor hands over, in place of taking one. `aside`: a file
+    that cannot be read is moved aside, a new one with another number begun; `damaged` says why and where.
     """
 
     def __init__(
@@ -58,14 +60,18 @@
         wall_ms: float = 0.0,
         readonly: bool = False,
         lock: int | None = None,
+        aside: bool = False,
     ) -> None:
         self.folder, self.size_most, self.readonly = folder, size_most, readonly
         self.lock: int | None = lock
+        self.damaged = ""
         try:
             if not readonly:
                 folder.mkdir(parents=True, exist_ok=True)
                 if lock is None:
                     self.lock = self.take_lock()
+                    if aside and (why := sound.unsound(folder, size_most, len(KINDS) + 1)):
+                        self.damaged = f"{why}; kept as {sound.set_aside(folder).name}"
             self.env = lmdb.open(
                 str(folder),
                 map_size=size_most,
