--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -97,6 +97,7 @@
         self.waiting: deque[Attempt] = deque()  # for a connection
         self.orders: dict[tuple[str, str], bytes] = {}  # for sessions that stand, until a connection is up
         self.standing: dict[str, Session] = {}
+        self.ordered_at = NEVER  # the last order that found no connection
         self.heard_at = NEVER  # a word on a session that stands, or the begin of the first
         self.up_at = NEVER  # a connection came up
         self.broken_at = NEVER  # the last connection was lost while sessions stood
@@ -230,6 +231,7 @@
                 link.send(line)
                 return
         self.orders[session.ref, kind] = line
+        self.ordered_at = self.desk.loop.now()
         self.dial()
 
     def stands(self, session: Session) -> None:
@@ -247,10 +249,11 @@
     def sweep(self, now: float) -> None:
         """Closes what idles, keeps a line to what stands, finds out who is silent for good."""
         desk = self.desk
-        if self.waiting:
-            self.serve_waiting()
-            if self.waiting and now - self.tried_at > bounds.RECONNECT_S:
-                self.dial()
+        if now - self.ordered_at > bounds.ORDERS_KEPT_S:
+            self.orders.clear()
+        self.serve_waiting()
+        if (self.waiting or self.orders) and now - self.tried_at > bounds.RECONNECT_S:
+            self.dial()  # the last one did not come up, or came up late
         for link in list(self.links):
             old = link.address != self.address
             if link.up and not link.open and (old or now - link.used > bounds.IDLE_PART * desk.idle_s):
--- a/lemonhall/node/bounds.py
+++ b/lemonhall/node/bounds.py
@@ -32,6 +32,7 @@
 SILENCE_FLOOR_S = 4.0  # of a server with standing sessions before a new connection tells whether it lives
 LOST_AFTER_S = 6.5  # of silence, all attempts to connect failing: its sessions are over (8 s by the protocol)
 RECONNECT_S = 0.3  # between attempts to reach a server whose sessions stand
+ORDERS_KEPT_S = 8.0  # words that find no connection: what is over is released within 8 s
 SWEEP_S = 0.25  # how often idle and silent connections are looked for
 
 ASK_EVERY_S = 0.4  # the resolver: what is told counts as heard after 1.5 s, three answers may be lost
