Drawn test of the front node: several events a pass in any order, and what is planted in it

Events before each pass (asks, answers, ends, leavings, lists, connections that hang, SIGHUP) are drawn in batches, what is ready is given in a drawn order. Held: one answer, nothing sent on after leaving, tables of node and module equal and empty at the end. A node that does not read the leaving, hears it behind the end of an attempt, or marks an answer as told that was not, is each seen. Process tests read whole log lines alone: one in four runs beside other load read half of one.

--- a/tests/node/running.py
+++ b/tests/node/running.py
@@ -84,7 +84,8 @@
         self.until(lambda: any(m.get("ref") == asked["ref"] for m in viewer.got))
 
     def said(self) -> list[dict[str, Any]]:
-        return [json.loads(line) for line in Path(self.log.name).read_text().splitlines()]
+        text = Path(self.log.name).read_text()
+        return [json.loads(line) for line in text[: text.rfind("\n") + 1].splitlines()]  # whole lines alone
 
     def close(self) -> None:
         self.child.kill()
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -3,13 +3,20 @@
 
 from __future__ import annotations
 
+import socket
 from collections import Counter
+from random import Random
+from typing import Any
 
-from hypothesis import given, settings
+import pytest
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from tests.node.world import World
+from lemonhall import interface as i
+from tests.node.world import Peer, World
 
+EVENTS = ["ask", "ask", "pay", "up", "up", "full", "error", "reset", "end", "cut", "give up", "leave"]
+EVENTS += ["connect", "list", "deaf", "hup", "wait"]
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(
@@ -68,7 +75,7 @@
     assert set(module) == set(sessions.by_number)  # the module holds no session that nobody has, and no fewer
 
 
-def play(world: World, steps: list[tuple[str, int]]) -> None:
+def play(world: World, steps: list[tuple[str, int]], pump: bool = True) -> None:
     causes = {"full": 34, "error": 47, "reset": 41}
     for what, n in steps:
         news = [(k, m["ref"]) for s in world.servers for k, m in s.asked("new") if not k.ended]
@@ -93,7 +100,8 @@
             else:
                 cause = causes.get(what, 16 if what == "end" else 41)
                 link.say({"t": "down", "ref": ref, "f": {}, "c": cause})
-        world.pump(3)
+        if pump:
+            world.pump(3)
 
 
 @settings(max_examples=60, deadline=None)
@@ -113,6 +121,150 @@
         world.close()
 
 
+class Permuted:
+    """A selector that gives what is ready in a drawn order."""
+
+    def __init__(self, inner: Any, random: Random) -> None:
+        self.inner, self.random = inner, random
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.inner, name)
+
+    def select(self, wait_s: float) -> list[Any]:
+        found = list(self.inner.select(wait_s))
+        self.random.shuffle(found)
+        return found
+
+
+BATCH = st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 5)), min_size=1, max_size=5)
+
+
+def sent(world: World) -> Counter[str]:
+    for server in world.servers:
+        server.read()
+    return Counter(m["ref"] for s in world.servers for _, m in s.asked("new"))
+
+
+def crossed(world: World, batches: list[list[tuple[str, int]]], random: Random) -> dict[str, Peer]:
+    """Several events before each pass, given in a drawn order; nothing leaves for who has left before it.
+
+    What it gives back: the ids that are owed an answer, each with its connection.
+    """
+    world.loop.selector = Permuted(world.loop.selector, random)  # type: ignore[assignment]
+    left: dict[str, int] = {}  # who has left, and how often it had been sent on by then
+    by: dict[str, Peer] = {}
+    door = world.servers[0].door
+    for batch in batches:
+        for viewer in [*world.viewers]:
+            viewer.read()
+        for what, n in batch:
+            open_viewers = [v for v in world.viewers if not v.ended]
+            if what in ("ask", "pay"):
+                if not open_viewers:
+                    open_viewers = [Peer(socket.create_connection(world.address))]
+                    world.viewers += open_viewers
+                viewer = open_viewers[n % len(open_viewers)]
+                cls = "premium" if what == "pay" else "plain"
+                by[world.ask(cls, viewer=viewer, key=f"{n:016x}")["ref"]] = viewer
+            elif what == "connect":
+                world.viewers.append(Peer(socket.create_connection(world.address)))
+            elif what == "give up" and (mine := [r for r, v in by.items() if v in open_viewers]):
+                ref = mine[-1 - n % len(mine)]
+                by[ref].say({"t": "down", "ref": ref, "f": {}, "c": 16})
+                left.setdefault(ref, sent(world)[ref])
+            elif what == "leave" and open_viewers:
+                viewer = open_viewers[n % len(open_viewers)]
+                for ref in [ref for ref, v in by.items() if v is viewer]:
+                    left.setdefault(ref, sent(world)[ref])
+                viewer.close()
+            elif what == "list":
+                world.servers[0].draining = not world.servers[0].draining
+                world.names.seq += 1
+            elif what == "deaf":  # connections hang: nobody takes them
+                world.servers[0].door = door if world.servers[0].door is not door else socket.socket()
+            elif what == "hup":
+                world.node.reload()
+            elif what == "wait":
+                world.pass_s(0.1 * (n + 1))
+            else:
+                play(world, [(what, n)], pump=False)
+        world.loop.run_once(0.0)
+        world.pump(1)
+        now = sent(world)
+        assert not [ref for ref, before in left.items() if now[ref] > before], "sent on after leaving"
+    world.servers[0].door = door
+    return {ref: viewer for ref, viewer in by.items() if ref not in left}
+
+
+def settle(world: World, owed: dict[str, Peer]) -> None:
+    """All set-ups are out of time, all viewers and servers are through: nothing is held by anybody."""
+    world.pump(6)
+    check(world)
+    world.pass_s(5.0)
+    world.pump()
+    world.pass_s(5.0)
+    assert world.node.open == 0
+    check(world)
+    module: Any = world.node.bridge.decider
+    held = sum(len(box.sessions) for box in module.boxes.values())
+    assert held == len(module.sessions) == world.node.sessions.standing
+    assert not world.node.sessions.leaving
+    for ref, viewer in owed.items():
+        assert viewer.ended or ref in [m["ref"] for m in viewer.got], "no answer"
+
+
+def cross(batches: list[list[tuple[str, int]]], seed: int) -> None:
+    world = World()
+    try:
+        settle(world, crossed(world, batches, Random(seed)))
+    finally:
+        world.close()
+
+
+@settings(max_examples=40, deadline=None, derandomize=True, suppress_health_check=[HealthCheck.too_slow])
+@given(st.lists(BATCH, max_size=12), st.integers(0, 1 << 16))
+def test_several_events_a_pass_in_any_order(batches: list[list[tuple[str, int]]], seed: int) -> None:
+    cross(batches, seed)
+
+
+def sent_on(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr("lemonhall.front.node.viewers.Viewer.look", lambda self: None)
+
+
+def told_last(patch: pytest.MonkeyPatch) -> None:
+    def left(bridge: Any, told: i.NewSession) -> bool:
+        bridge.tell(i.ViewerGone(told.id))
+        return True
+
+    patch.setattr("lemonhall.front.deciding.bridge.Bridge.left", left)
+
+
+def never_ended(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr("lemonhall.front.node.sessions.Sessions.deliver", lambda self, session, line: True)
+
+
+WARM = [[("ask", 0)], [("up", 0)], [("cut", 0)], [("wait", 1)]]
+
+
+@pytest.mark.parametrize(
+    ("plant", "batches"),
+    [
+        (sent_on, [*WARM, [("ask", 0), ("leave", 0)]]),
+        (told_last, [[("ask", 0)], [("wait", 0)], [("full", 0), ("give up", 0)]]),
+        (never_ended, [[("ask", 0)], [("wait", 0)], [("up", 0)], [("wait", 0)]]),
+    ],
+)
+def test_the_drawn_check_sees_what_is_planted(
+    plant: Any, batches: list[list[tuple[str, int]]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for seed in range(4):
+        cross(batches, seed)
+    plant(monkeypatch)
+    with pytest.raises(AssertionError):  # noqa: PT012
+        for seed in range(4):
+            cross(batches, seed)
+
+
 def test_the_check_sees_a_second_answer() -> None:
     world = World()
     try:
