--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -139,9 +139,12 @@
 BATCH = st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 5)), min_size=1, max_size=5)
 
 
-def sent(world: World) -> Counter[str]:
+def sent(world: World, door: socket.socket) -> Counter[str]:
+    """How often each id was sent on, also to a server that takes no connection (`door` is its own)."""
+    deaf, world.servers[0].door = world.servers[0].door, door
     for server in world.servers:
         server.read()
+    world.servers[0].door = deaf
     return Counter(m["ref"] for s in world.servers for _, m in s.asked("new"))
 
 
@@ -171,11 +174,11 @@
             elif what == "give up" and (mine := [r for r, v in by.items() if v in open_viewers]):
                 ref = mine[-1 - n % len(mine)]
                 by[ref].say({"t": "down", "ref": ref, "f": {}, "c": 16})
-                left.setdefault(ref, sent(world)[ref])
+                left.setdefault(ref, sent(world, door)[ref])
             elif what == "leave" and open_viewers:
                 viewer = open_viewers[n % len(open_viewers)]
                 for ref in [ref for ref, v in by.items() if v is viewer]:
-                    left.setdefault(ref, sent(world)[ref])
+                    left.setdefault(ref, sent(world, door)[ref])
                 viewer.close()
             elif what == "list":
                 world.servers[0].draining = not world.servers[0].draining
@@ -190,7 +193,7 @@
                 play(world, [(what, n)], pump=False)
         world.loop.run_once(0.0)
         world.pump(1)
-        now = sent(world)
+        now = sent(world, door)
         assert not [ref for ref, before in left.items() if now[ref] > before], "sent on after leaving"
     world.servers[0].door = door
     return {ref: viewer for ref, viewer in by.items() if ref not in left}
@@ -201,16 +204,14 @@
     world.pump(6)
     check(world)
     world.pass_s(5.0)
-    world.pump()
-    world.pass_s(5.0)
-    assert world.node.open == 0
+    # On a busy machine the kernel may have kept the last words back: until all is through, or a real 10 s.
+    world.until(lambda: world.pass_s(5.0, 0.2) or not world.node.open)
     check(world)
     module: Any = world.node.bridge.decider
     held = sum(len(box.sessions) for box in module.boxes.values())
     assert held == len(module.sessions) == world.node.sessions.standing
     assert not world.node.sessions.leaving
-    for ref, viewer in owed.items():
-        assert viewer.ended or ref in [m["ref"] for m in viewer.got], "no answer"
+    world.until(lambda: all(v.ended or ref in [m["ref"] for m in v.got] for ref, v in owed.items()))
 
 
 def cross(batches: list[list[tuple[str, int]]], seed: int) -> None:
