A restart that the list tells late ends the sessions of the old process alone

Cause: tell_list had MediaServer.lose end every session at the server once the list told another start, also those that had been set up at the new process before the list told of it. Now those set up before that start alone. test_sessions_set_up_at_a_new_process_outlive... fails without it.

--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -39,7 +39,7 @@
         self.random = Random(told.seed)
         settings = told.settings
         # The module's clock: Unix time at the start, running on monotonically. List entries tell Unix times.
-        offset = time.time() - loop.now()
+        offset = self.offset = time.time() - loop.now()
         self.bridge = Bridge(Front(settings, told.seed), lambda: (loop.now() + offset) * 1000)
         self.bridge.carry_out[i.SetTimer] = self.set_timer
         notes_s = (settings.reports_every_ms * 1.5 + settings.told_late_ms) / 1000
@@ -123,7 +123,9 @@
             if moved:
                 server.moved()
             if restarted:
-                server.lose("restarted")  # another process: the sessions of the one before are over
+                # Another process: the sessions of the one before are over. Those that were set up since its
+                # start are its own: it was reached before the list told of it.
+                server.lose("restarted", entry.started_ms / 1000 - self.offset)
             if server.standing and (moved or not server.links):
                 server.dial()
             state = i.ServerState.DRAINING if entry.draining else i.ServerState.READY
--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -200,14 +200,16 @@
         for attempt in waiting:
             self.desk.on_ended(attempt, Outcome.CONNECT_FAILED, ())
 
-    def lose(self, why: str) -> None:
-        """The sessions here are over and nobody could say so."""
-        if self.standing:
-            self.desk.counts[f"lost_{why.replace(' ', '_')}"] += len(self.standing)
-            self.desk.say("sessions lost", server=self.id, why=why, sessions=len(self.standing))
-        for session in list(self.standing.values()):
+    def lose(self, why: str, before: float = float("inf")) -> None:
+        """The sessions here, set up before a time, are over and nobody could say so."""
+        lost = [s for s in self.standing.values() if s.attempt is None or s.attempt.began < before]
+        if lost:
+            self.desk.counts[f"lost_{why}"] += len(lost)
+            self.desk.say("sessions lost", server=self.id, why=why, sessions=len(lost))
+        for session in lost:
             self.desk.on_lost(session)
-        self.orders.clear()
+        if not self.standing:
+            self.orders.clear()
 
     def give_up(self, attempt: Attempt) -> bool:
         """Ends the wait for an attempt; whether anything of it may have left. The connection stays."""
--- a/tests/node/test_rare.py
+++ b/tests/node/test_rare.py
@@ -436,6 +436,24 @@
     server.door.close()
 
 
+def test_sessions_set_up_at_a_new_process_outlive_the_list_that_tells_of_it(
+    worlds: Callable[..., World],
+) -> None:
+    """The new process was reached before the list told of it: its sessions were taken for the old one's."""
+    world = worlds(servers=1)
+    old, server, link = world.play()
+    world.pass_s(0.1)
+    link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    link.close()
+    server.started = int(world.node.bridge.now_ms())
+    world.pass_s(0.2)
+    ref, _, _ = world.play("premium", extras="home:0;copies:4;viewer:00000000000000ac")
+    world.names.seq = 2
+    world.pass_s(1.0)
+    assert [m["c"] for m in world.told_of(old, "down")] == [41]
+    assert world.told_of(ref, "down") == [] and world.node.sessions.standing == 1
+
+
 # hand-overs
 
 
