--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from lemonhall import interface as i
-from tests.node.world import Peer, World
+from tests.node.world import Order, Peer, World
 
 EVENTS = ["ask", "ask", "pay", "up", "up", "full", "error", "reset", "end", "cut", "give up", "leave"]
 EVENTS += ["connect", "list", "deaf", "hup", "wait"]
@@ -121,21 +121,6 @@
         world.close()
 
 
-class Permuted:
-    """A selector that gives what is ready in a drawn order."""
-
-    def __init__(self, inner: Any, random: Random) -> None:
-        self.inner, self.random = inner, random
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self.inner, name)
-
-    def select(self, wait_s: float) -> list[Any]:
-        found = list(self.inner.select(wait_s))
-        self.random.shuffle(found)
-        return found
-
-
 BATCH = st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 5)), min_size=1, max_size=5)
 
 
@@ -153,7 +138,8 @@
 
     What it gives back: the ids that are owed an answer, each with its connection.
     """
-    world.loop.selector = Permuted(world.loop.selector, random)  # type: ignore[assignment]
+    drawn = Order(world.loop.selector, lambda found: random.sample(found, len(found)))
+    world.loop.selector = drawn  # type: ignore[assignment]
     left: dict[str, int] = {}  # who has left, and how often it had been sent on by then
     by: dict[str, Peer] = {}
     door = world.servers[0].door
--- a/tests/node/test_rare.py
+++ b/tests/node/test_rare.py
@@ -1,7 +1,7 @@
 """Rare moments on real connections: two events cross, in each order, every time (docs/design/crossings.md).
 
 The loop is stepped; peers act between its passes, or inside one at a point that is named (`at_call`). What is
-ready in one pass is given forwards or backwards (`Ordered`).
+ready in one pass is given forwards or backwards (`in_order`).
 """
 
 from __future__ import annotations
@@ -16,30 +16,25 @@
 
 from lemonhall import interface as i
 from lemonhall.node import bounds
-from tests.node.world import Names, Peer, Server, World, settings
+from tests.node.world import Names, Order, Peer, Server, World, settings
 
 RESET = b"\1\0\0\0\0\0\0\0"
 
 
-class Ordered:
-    """A selector that gives what is ready by descriptor, forwards or backwards."""
+def in_order(world: World, backwards: bool) -> None:
+    """What is ready in one pass is given by descriptor, forwards or backwards."""
 
-    def __init__(self, inner: Any, backwards: bool) -> None:
-        self.inner, self.backwards = inner, backwards
+    def arrange(found: list[Any]) -> list[Any]:
+        return sorted(found, key=lambda one: one[0].fd, reverse=backwards)
 
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self.inner, name)
-
-    def select(self, wait_s: float) -> list[Any]:
-        found = sorted(self.inner.select(wait_s), key=lambda one: one[0].fd)
-        return found[::-1] if self.backwards else found
+    world.loop.selector = Order(world.loop.selector, arrange)  # type: ignore[assignment]
 
 
 @pytest.fixture(params=[False, True], ids=["forwards", "backwards"])
 def ordered(request: pytest.FixtureRequest, worlds: Callable[..., World]) -> Callable[..., World]:
     def make(**more: Any) -> World:
         world = worlds(**more)
-        world.loop.selector = Ordered(world.loop.selector, request.param)  # type: ignore[assignment]
+        in_order(world, request.param)
         return world
 
     return make
@@ -381,7 +376,7 @@
     asked, ref = world.viewers[1:], "b" * 16
     world.pump()
     assert len(world.node.viewers.links) == most and len(asked) == most - 1
-    world.loop.selector = Ordered(world.loop.selector, False)  # type: ignore[assignment]
+    in_order(world, False)
     world.viewer.say(world.new(ref=ref, extras="home:0;copies:4;viewer:00000000000000ff"))
     world.viewers.append(Peer(socket.create_connection(world.address)))
     world.pump()
--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -73,6 +73,19 @@
     return made
 
 
+class Order:
+    """A selector that gives what is ready in one pass as `arrange` puts it."""
+
+    def __init__(self, inner: Any, arrange: Callable[[list[Any]], list[Any]]) -> None:
+        self.inner, self.arrange = inner, arrange
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.inner, name)
+
+    def select(self, wait_s: float) -> list[Any]:
+        return self.arrange(self.inner.select(wait_s))
+
+
 class Peer:
     """A socket that speaks lines; `got` holds what came, unread ones first."""
 
