A refused connection ends sessions only behind a reset: a draining server refuses and plays on

Ruled out: the list (draining told 0.4 to 0.7 s later), silence, spoilt answers.

Lines at fault: MediaServer.link_closed took any refusal for the death of the process. Change: only where the last connection that stood was reset. Else the list, a reset or 6.5 s of silence tells (8 s by the protocol).

--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -110,6 +110,7 @@
         self.heard_at = NEVER  # a word on a session that stands, or the begin of the first
         self.up_at = NEVER  # a connection came up
         self.broken_at = NEVER  # the last connection was lost while sessions stood
+        self.reset = False  # the last connection that stood was reset
         self.tried_at = self.failed_at = NEVER  # a connection was tried, did not come up
 
     def submit(self, attempt: Attempt) -> None:
@@ -190,6 +191,8 @@
         if link in self.links:
             self.links.remove(link)
         never_up = not link.up
+        if not never_up:
+            self.reset = reason == "reset"
         desk.counts[f"link_{reason}{'_new' if never_up else ''}"] += 1
         if self.standing and not self.links and not never_up:
             self.broken_at = desk.loop.now()
@@ -211,8 +214,10 @@
             self.serve_waiting()
             if not any(other.up and other.address == self.address for other in self.links):
                 self.fail_waiting()  # else they wait for room on the others, as long as their time allows
-            if reason == "refused" and not any(other.up for other in self.links):
-                self.lose("refused")  # no process there: its sessions were cut
+            if reason == "refused" and self.reset and not any(other.up for other in self.links):
+                # No process there: it reset its connections as it ended, and cut its sessions. One that
+                # drains closes them in order and refuses new ones, and what stands there plays on.
+                self.lose("refused")
         elif self.waiting:
             self.serve_waiting()
             if self.waiting:
--- a/tests/node/test_rare.py
+++ b/tests/node/test_rare.py
@@ -903,3 +903,23 @@
     assert not world.loop.running
     world.pump(3)
     assert [m["c"] for m in fresh.got if m.get("ref") == ref] == [16]
+
+
+@pytest.mark.parametrize("how", ["eof", "reset"])
+def test_a_server_that_drains_refuses_and_plays_on(worlds: Callable[..., World], how: str) -> None:
+    """It closed its connection in order, took no new one, and the list told late that it drains: its sessions
+    were released while they stood. A process that ends resets its connections: its sessions are over."""
+    world = worlds(servers=1)
+    ref, server, link = world.play()
+    server.door.close()
+    if how == "reset":
+        link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    link.close()
+    world.pass_s(1.5)
+    assert world.node.counts["link_refused_new"]
+    if how == "reset":
+        assert [m["c"] for m in world.told_of(ref, "down")] == [41]
+        return
+    assert world.told_of(ref, "down") == [] and world.node.sessions.standing == 1
+    world.pass_s(bounds.LOST_AFTER_S)  # nothing will ever tell of its end
+    assert [m["c"] for m in world.told_of(ref, "down")] == [41] and nothing_held(world)
