--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -1,10 +1,12 @@
 """How a fleet comes back after all of its fronts are killed together: on sockets, and in the model.
 
     python benchmarks/recovery.py [--days restart,restart-lost,restart-apart] [--plays 4] [--against FOLDER]
+    python benchmarks/recovery.py --days all-lost,frozen,hall-and-servers,crash-loop [--fronts 24]
     python benchmarks/recovery.py --model 24,200 [--seeds 3]
 
-`--against`: another checkout, played in turn with this one; its day files are taken from here. The model is
-played with the machine of recovery and without it. Stand-ins and simulated servers, not machines.
+`--against`: another checkout, played in turn with this one; its day files are taken from here. `--fronts`:
+the day `restart` and the hard cases with so many fronts, more servers and load to fit. The model is played
+with the machine of recovery and without it. Stand-ins and simulated servers, not machines.
 """
 
 from __future__ import annotations
@@ -23,11 +25,22 @@
 ROOT = Path(__file__).parents[1]
 sys.path.insert(0, str(ROOT))
 
-from lemonhall.config.day import Day, read_day  # noqa: E402
+from lemonhall.config.day import read_day  # noqa: E402
 from lemonhall.model.world import World  # noqa: E402
 
 KEYS = ("full_service_s", "full_service_p50_s", "full_service_worst_s", "connects_most", "list_calls_most")
 SUMS = ("stale_decisions", "rules_broken", "refused", "played")
+HARD = {  # faults in the place of the one of restart.kdl; {all}, {a}: the fronts, those of one hall
+    "all-lost": 'fault "front-killed" {all} store="lost" at=(s)8 for=(ms)500',
+    "frozen": 'fault "front-frozen" "fa0" at=(s)8 for=(s)20',
+    "hall-and-servers": 'fault "hall-dark" "hall-a" at=(s)8 for=(s)1\n'
+    'fault "front-killed" {a} at=(s)8 for=(ms)500',
+    "crash-loop": "\n".join(
+        f'fault "front-killed" "fa0" at=(ms){8000 + 700 * n} for=(ms)200' for n in range(8)
+    ),
+    "thrice": "\n".join(f'fault "front-killed" {{all}} at=(s){at} for=(ms)500' for at in (8, 12, 16)),
+}
+LENGTHS = {"frozen": 34, "thrice": 26}
 ARRIVALS = {12: 1.5, 18: 2.25, 10: 1.25}  # a second of each mix of restart.kdl: of a front
 TIMEOUT_S = 180
 
@@ -43,23 +56,28 @@
     return told
 
 
-def sized(fronts: int, folder: Path) -> Day:
-    """restart.kdl with so many fronts, one and a half times as many servers, and load to fit."""
+def made(name: str, folder: Path, fronts: int = 8) -> Path:
+    """restart.kdl with so many fronts, one and a half times as many servers and load to fit; with the faults
+    of a hard case, if it names one."""
     text = (ROOT / "examples" / "days" / "restart.kdl").read_text(encoding="utf-8")
     halls = [fronts // 3 + (n < fronts % 3) for n in range(3)]
-    for hall, own in zip("abc", halls, strict=True):
-        text = re.sub(rf'(front "f{hall}".*count=)\d+', rf"\g<1>{own}", text)
-        text = re.sub(rf'(box "{hall}".*count=)\d+', rf"\g<1>{max(1, round(own * 1.5))}", text)
-    for was, each in ARRIVALS.items():
-        text = text.replace(f" per-second={was} ", f" per-second={each * fronts:g} ")
-    text = re.sub(r"uplink=\(kBps\)\d+", f"uplink=(kBps){500 * fronts}", text)
-    for was in (64, 20):
-        text = text.replace(f"quota={was}", f"quota={was * fronts // 8}")
-    names = " ".join(f'"f{hall}{n}"' for hall, own in zip("abc", halls, strict=True) for n in range(own))
-    text = text[: text.index("\nfault ")] + f'\nfault "front-killed" {names} at=(s)8 for=(ms)500\n'
-    path = folder / "sized.kdl"
-    path.write_text(text, encoding="utf-8")
-    return read_day(path)
+    if fronts != 8:
+        for hall, own in zip("abc", halls, strict=True):
+            text = re.sub(rf'(front "f{hall}".*count=)\d+', rf"\g<1>{own}", text)
+            text = re.sub(rf'(box "{hall}".*count=)\d+', rf"\g<1>{max(1, round(own * 1.5))}", text)
+        for was, each in ARRIVALS.items():
+            text = text.replace(f" per-second={was} ", f" per-second={each * fronts:g} ")
+        text = re.sub(r"uplink=\(kBps\)\d+", f"uplink=(kBps){500 * fronts}", text)
+        for was in (64, 20):
+            text = text.replace(f"quota={was}", f"quota={was * fronts // 8}")
+    names = [f'"f{hall}{n}"' for hall, own in zip("abc", halls, strict=True) for n in range(own)]
+    fault = HARD.get(name, 'fault "front-killed" {all} at=(s)8 for=(ms)500')
+    fault = fault.format(all=" ".join(names), a=" ".join(n for n in names if n.startswith('"fa')))
+    if name in LENGTHS:
+        text = text.replace("length=(s)18", f"length=(s){LENGTHS[name]}")
+    path = folder / f"{name}.kdl"
+    path.write_text(f"{text[: text.index(chr(10) + 'fault ')]}\n{fault}\n", encoding="utf-8")
+    return path
 
 
 def shown(name: str, told: list[dict[str, Any]]) -> None:
@@ -77,26 +95,30 @@
     parser.add_argument("--days", default="restart,restart-lost,restart-apart")
     parser.add_argument("--plays", type=int, default=4)
     parser.add_argument("--against", type=Path)
+    parser.add_argument("--fronts", type=int, default=8)
     parser.add_argument("--model", default="")
     parser.add_argument("--seeds", type=int, default=3)
     args = parser.parse_args()
     for size in map(int, filter(None, args.model.split(","))):
         with tempfile.TemporaryDirectory() as folder:
-            day = sized(size, Path(folder))
+            day = read_day(made("restart", Path(folder), size))
         for returning in (True, False):
             plays = [World(day, seed, returning=returning).play() for seed in range(1, args.seeds + 1)]
-            made = [p.report.to_json() for p in plays]
-            shown(f"model, {size} fronts, {'with' if returning else 'without'}", made)
+            reports = [p.report.to_json() for p in plays]
+            shown(f"model, {size} fronts, {'with' if returning else 'without'}", reports)
     if args.model:
         return
+    folder = Path(tempfile.mkdtemp())
     for name in args.days.split(","):
         day_file = ROOT / "examples" / "days" / f"{name}.kdl"
+        if name in HARD or args.fronts != 8:
+            day_file = made(name, folder, args.fronts)
         trees = [ROOT, *([args.against.resolve()] if args.against else [])]
         told: dict[Path, list[dict[str, Any]]] = {tree: [] for tree in trees}
         for _ in range(args.plays):
             for tree in trees:
-                if made := sockets(day_file, tree):
-                    told[tree].append(made)
+                if report := sockets(day_file, tree):
+                    told[tree].append(report)
         for n, tree in enumerate(trees):
             shown(f"{name}, {'the other' if n else 'this one'}", told[tree])
 
--- a/tests/front/test_hard_cases.py
+++ b/tests/front/test_hard_cases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import struct
 from collections.abc import Callable
 from typing import Any
@@ -13,6 +14,7 @@
 from lemonhall.interface import Outcome
 from lemonhall.rtsp import rtp
 from tests.front.world import ScriptedBox, Server, World
+from tests.node.world import Order
 
 Build = Callable[..., World]
 
@@ -61,6 +63,30 @@
     assert not +w.module.inner.seats and not w.daemon.asks.open  # freed
 
 
+@pytest.mark.parametrize("backwards", [False, True])
+def test_the_end_of_an_attempt_and_the_viewers_leaving_in_one_pass(world: Build, backwards: bool) -> None:
+    """The module chose the next attempt for a session that nobody had, and held its place for ever."""
+    w = world()
+    held: list[tuple[Server, Any]] = []
+    both(w, "SETUP", lambda conn, request: held.append((conn, request)))
+    client, _, _ = w.play("/browse/one")
+    w.until(lambda: held)
+    w.loop.selector = Order(  # type: ignore[assignment]
+        w.loop.selector, lambda found: sorted(found, key=lambda one: one[0].fd, reverse=backwards)
+    )
+    server, request = held[0]
+    server.reply(request, 453)
+    client.stream.abort()
+    mine = [k.stream.sock for k in w.daemon.worker.viewers]
+    for sock in mine:
+        assert select.select([sock], [], [], 10)[0]
+    w.until(lambda: w.module.told(i.ViewerGone) or w.module.told(i.AttemptEnded))
+    w.pass_time(0.2)
+    assert w.set_ups() == 1 and not w.daemon.asks.open
+    assert not w.module.inner.sessions
+    assert not any(box.sessions for box in w.module.inner.boxes.values())
+
+
 def test_box_vanishes_between_set_up_and_play_paid(world: Build) -> None:
     w = world()
     both(w, "PLAY", reset)
