--- a/lemonhall/loop/stream.py
+++ b/lemonhall/loop/stream.py
@@ -61,6 +61,7 @@
         self.written = self.read = 0
         self.open, self.connecting, self.paused = True, connecting, False
         self.closing = self.was_full = False
+        self.broken = False  # a write found that the peer is gone; its owner has yet to be told
         self.dropped: int | None = None  # bytes since it began to end by `finish`
         self.frozen = frozen  # neither read nor written: another process may have it soon
         self.stalled_since: float | None = None  # when the peer last stopped taking what waits
@@ -132,8 +133,10 @@
     def look(self) -> bool:
         """Reads what lies there now, not in the loop's own time; whether the stream can still be used.
 
-        For who is about to act on what a peer said: its leaving may lie behind it.
+        For who is about to act on what a peer said: its leaving may lie behind it, or have shown at a write.
         """
+        if self.broken:
+            self._close("reset")
         if self.open and not (self.connecting or self.closing or self.paused or self.frozen):
             self._read(READS_A_LOOK, to_end=True)
         return self.open and not self.closing
@@ -181,7 +184,7 @@
             except BlockingIOError:
                 sent = 0
             except OSError:  # from here on it takes nothing; its owner is told in the loop's own time
-                self.closing = True
+                self.closing = self.broken = True
                 self.loop.call_soon(self._close, "reset")
                 return
             self.written += sent
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -24,6 +24,7 @@
 
 EVENTS = ["ask", "ask", "pay", "up", "up", "full", "error", "reset", "end", "cut", "give up", "leave"]
 EVENTS += ["connect", "list", "deaf", "hup", "wait", "refuse", "break", "break", "release", "reset viewer"]
+EVENTS += ["hand over", "gone", "restart"]
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(
@@ -53,7 +54,7 @@
     """The story of each id, from what passed on the sockets."""
     answers: Counter[str] = Counter()
     released: Counter[str] = Counter()
-    stood = {m["ref"] for v in world.viewers for m in v.got if m["t"] == "up"}
+    stood = {m["ref"] for v in world.viewers for m in v.got if m["t"] == "up"} | world.handed
     for viewer in world.viewers:
         here = {m["ref"] for m in viewer.got if m["t"] == "up"}
         own = set()  # those whose answer has come: what comes then is a release, as is what comes elsewhere
@@ -90,6 +91,10 @@
     causes = {"full": 34, "error": 47, "reset": 41}
     for what, n in steps:
         news = [(k, m["ref"]) for s in world.servers for k, m in s.asked("new") if not k.ended]
+        links = [k for s in world.servers for k in s.links if not k.ended]
+        news += [
+            (k, ref) for k in links for ref in sorted(world.handed)
+        ]  # what was handed over may end on any
         if what in ("ask", "pay"):
             viewer = next((v for v in world.viewers if not v.ended), None) or world.connect()
             world.ask("premium" if what == "pay" else "plain", viewer=viewer, key=f"{n:016x}")
@@ -104,7 +109,7 @@
                     viewer.say({"t": "down", "ref": ref, "f": {}, "c": 16})
         elif news and what not in ("leave", "give up"):
             link, ref = news[-1 - n % len(news)]
-            if what == "up":
+            if what == "up" and ref not in world.handed:
                 link.say({"t": "up", "ref": ref, "f": {}, "d": "v=0"})
             elif what == "noise":
                 link.say(b"noise\n")
@@ -229,6 +234,17 @@
             if n % 2:
                 link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             link.close()
+        elif what == "hand over" and viewers:
+            at = world.servers[n % 2].name
+            extras = f"viewer:{world.refs:016x};at:{at}"
+            ref = world.ask(viewer=viewers[n % len(viewers)], extras=extras)["ref"]
+            world.handed.add(ref)
+        elif what == "gone":
+            world.names.servers = world.servers[: 1 + (len(world.names.servers) == 1)]
+            world.names.seq += 1
+        elif what == "restart":
+            world.servers[1].started = int(world.node.bridge.now_ms())
+            world.names.seq += 1
         elif what == "list":
             world.servers[0].draining = not world.servers[0].draining
             world.names.seq += 1
@@ -284,7 +300,7 @@
     world.until(lambda: world.pass_s(5.0, 0.2) or not world.node.open)
     check(world)
     module: Any = world.node.bridge.decider
-    held = sum(len(box.sessions) for box in module.boxes.values())
+    held = sum(len(box.sessions) for box in module.held)  # also at servers that no list has told
     assert held == len(module.sessions) == world.node.sessions.standing
     assert not world.node.sessions.leaving
     world.until(lambda: world.pass_s(0.5) or all(ref in [m["ref"] for m in v.got] for ref, v in owed.items()))
--- a/tests/node/test_rare.py
+++ b/tests/node/test_rare.py
@@ -923,3 +923,28 @@
     assert world.told_of(ref, "down") == [] and world.node.sessions.standing == 1
     world.pass_s(bounds.LOST_AFTER_S)  # nothing will ever tell of its end
     assert [m["c"] for m in world.told_of(ref, "down")] == [41] and nothing_held(world)
+
+
+def test_a_release_that_cannot_be_written_tells_of_the_leaving(ordered: Callable[..., World]) -> None:
+    """The look before a write hears of the end of another session of its viewer's; that the release found
+    nobody there was known, and the set-up was sent on all the same."""
+    world = ordered(servers=1)
+    viewer = world.connect()
+    ref, server, link = world.play(viewer=viewer)
+    at_node = world.node.sessions.by_ref[ref].viewer
+    assert at_node
+    mine = world.node.servers.by_id[server.name].links[0]
+
+    def act() -> None:
+        viewer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        viewer.close()
+        poll = select.poll()
+        poll.register(at_node.stream.sock, select.POLLERR)
+        assert poll.poll(10_000)
+        come(mine, link, down(ref, 16))
+
+    at_call(world, act)
+    again = world.ask(viewer=viewer, extras="home:0;copies:4;viewer:00000000000000ac")["ref"]
+    world.until(lambda: world.node.counts["given_up"])
+    world.pass_s(1.0)
+    assert again not in [m["ref"] for _, m in server.asked("new")] and nothing_held(world)
--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -218,6 +218,7 @@
     ) -> None:
         self.now = 1000.0
         self.acks = acks
+        self.handed: set[str] = set()  # sessions that were handed over: nobody is owed an answer
         self.names = Names()
         if not resolver_answers:
             self.names.spoil = lambda data: None
