Silence on a new connection ends sessions only behind a reset, not behind an idle close

Line at fault: link_closed set broken_at on any close. Now a reset alone does: an orderly close is a process that lives; one that ends behind it is told by the list, or refuses connections. The test's [eof] case fails without the mend.

--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -109,7 +109,7 @@
         self.ordered_at = NEVER  # the last order that found no connection
         self.heard_at = NEVER  # a word on a session that stands, or the begin of the first
         self.up_at = NEVER  # a connection came up
-        self.broken_at = NEVER  # the last connection was lost while sessions stood
+        self.broken_at = NEVER  # the last connection was reset while sessions stood
         self.reset = False  # the last connection that stood was reset
         self.tried_at = self.failed_at = NEVER  # a connection was tried, did not come up
 
@@ -194,7 +194,7 @@
         if not never_up:
             self.reset = reason == "reset"
         desk.counts[f"link_{reason}{'_new' if never_up else ''}"] += 1
-        if self.standing and not self.links and not never_up:
+        if self.standing and not self.links and not never_up and self.reset:
             self.broken_at = desk.loop.now()
         for when, ref, line in link.ends:
             if desk.loop.now() - when < bounds.OVERTAKEN_S:
@@ -306,9 +306,10 @@
         unsure = silent > desk.silence_s and self.up_at < now - desk.silence_s
         if (unsure or not self.links) and now - self.tried_at > bounds.RECONNECT_S:
             self.dial()  # a line for what stands; whether it comes up tells whether the machine lives
-        # A machine that vanished says nothing and takes no connection. Where a connection broke and only a
-        # new one came up, somebody else may have taken the address: without a word it is the same. A server
-        # that no list has told has no address: nobody will ever say that what was handed over there is over.
+        # A machine that vanished says nothing and takes no connection. Where a connection was reset and only
+        # a new one came up, somebody else may have taken the address: without a word it is the same. A
+        # server that no list has told has no address: nobody will ever say that what was handed over there
+        # is over.
         gone = self.failed_at > self.up_at or self.heard_at < self.broken_at or not self.address[1]
         if silent > bounds.LOST_AFTER_S and gone:
             self.lose("silent")
--- a/tests/node/test_rare.py
+++ b/tests/node/test_rare.py
@@ -948,3 +948,22 @@
     world.until(lambda: world.node.counts["given_up"])
     world.pass_s(1.0)
     assert again not in [m["ref"] for _, m in server.asked("new")] and nothing_held(world)
+
+
+@pytest.mark.parametrize("how", ["eof", "reset"])
+def test_silence_on_a_new_connection_ends_sessions_only_behind_a_reset(
+    worlds: Callable[..., World], how: str
+) -> None:
+    """Idle, the server closed in order; a new connection came up and nothing was to be said for a while: the
+    session was released while it stood. Behind a reset another process may have the address."""
+    world = worlds(servers=1)
+    ref, server, link = world.play()
+    world.pass_s(0.5)
+    if how == "reset":
+        link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    link.close()
+    world.until(lambda: not world.node.servers.by_id[server.name].links)
+    world.pass_s(1.0)
+    world.until(lambda: any(k.up for k in world.node.servers.by_id[server.name].links))
+    world.pass_s(8.0)
+    assert [m["c"] for m in world.told_of(ref, "down")] == ([41] if how == "reset" else [])
