The daemon's pages and counters stand in a file of their own; what is handed on beside its desk

No change of what is done: tests of daemon, members, hooks, captures, return, architecture: 308 passed.

--- a/lemonhall/front/deciding/returning.py
+++ b/lemonhall/front/deciding/returning.py
@@ -9,18 +9,23 @@
 
 import structlog
 
-from lemonhall.boxlist import Box
+from lemonhall import interface as i
+from lemonhall.boxlist import Box, Update
 from lemonhall.front.deciding.membership import Membership
 from lemonhall.front.keeping.keeper import Keeper
+from lemonhall.front.servers.listed import BoxList
 from lemonhall.loop import Loop, Timer
 from lemonhall.members.machine import View
 from lemonhall.members.members_pb2 import RECOVERY, Message
 from lemonhall.recovery import Let, Out, Phase, Recovery, Trust
+from lemonhall.recovery.handed import pages
 from lemonhall.recovery.recovery_pb2 import Entry
 
 log = structlog.get_logger("lemonhall.front")
 WITNESS_PERIODS = 2.0  # in which others are waited for, at the start, to speak of the store
 WITNESS_LEAST_MS = 1000.0
+MINUTE_MS = 60_000.0  # after which what was heard of a server is not handed on
+NEVER = float("-inf")
 GREET_MS = 50.0  # the seeds are greeted again after, while nobody has spoken; then twice as long each time
 GREET_MOST_MS = 400.0
 
@@ -36,6 +41,37 @@
     return Box(**{name: getattr(entry, name) for name in SAME})
 
 
+def known(boxes: BoxList, memory: i.Memory | None, now: float) -> list[Any]:
+    """Pages of the list and of what was learned of its servers, for one that has lost both."""
+    learned = {s.server: s for s in memory.servers} if memory else {}
+    entries = []
+    for box in boxes.boxes.values():
+        entry = entry_of(box)
+        if one := learned.get(box.id):
+            entry.evidence, entry.others_kb = one.evidence, max(0.0, one.others_kb)
+            entry.heard_ms_ago = max(1, round(min(MINUTE_MS, now - one.heard_at)))
+            if one.heard_at < now - MINUTE_MS:
+                entry.heard_ms_ago = 0
+        entries.append(entry)
+    return pages(entries, boxes.as_of_ms, boxes.version) if entries else []
+
+
+def list_of(page: Any) -> Update:
+    return Update(version=page.version, full=True, boxes=[box_of(e) for e in page.entries])
+
+
+def memory_of(page: Any, usual: i.Memory | None, now: float) -> i.Memory | None:
+    """Loads as others heard them, beside what this module knows of lengths; None: it keeps no memory."""
+    if usual is None:
+        return None
+    servers = tuple(
+        i.Learned(e.id, e.started_ms, e.evidence, 0.0, NEVER, e.others_kb, now - e.heard_ms_ago)
+        for e in page.entries
+        if e.heard_ms_ago
+    )
+    return i.Memory(now, usual.length_ms, usual.ends, usual.set_up_ms, usual.set_up_spread, servers)
+
+
 class ReturnDesk:
     """`let` is told of asks that waited: they go on now (None), or are to come again after so many ms."""
 
--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -15,15 +15,11 @@
 from pathlib import Path
 from random import Random, SystemRandom
 from typing import Any, Protocol
-from urllib.parse import unquote
 
-import prometheus_client as prom
 import structlog
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from lemonhall import decide
 from lemonhall import interface as i
-from lemonhall.boxlist import Update
 from lemonhall.config.settings import FrontSettings, StoreSettings, fixed_changes
 from lemonhall.front.deciding.asks import Asks
 from lemonhall.front.deciding.bridge import Bridge, Decider
@@ -33,16 +29,16 @@
 from lemonhall.front.deciding.listclient import ListClient
 from lemonhall.front.deciding.membership import Membership, read_keys
 from lemonhall.front.deciding.peers import Peers
-from lemonhall.front.deciding.returning import ReturnDesk, box_of, entry_of
+from lemonhall.front.deciding.returning import ReturnDesk, known, list_of, memory_of
 from lemonhall.front.keeping.capturing import Capturer, header_of
 from lemonhall.front.keeping.keeper import Keeper
 from lemonhall.front.keeping.record import Recorder
-from lemonhall.front.process import status
 from lemonhall.front.process.builder import Builder
 from lemonhall.front.process.local import Queue
+from lemonhall.front.process.shown import Shown
 from lemonhall.front.servers.catalogue import Call
 from lemonhall.front.viewers.worker import STOP_S, Worker
-from lemonhall.halls import Halls, Order, Plan
+from lemonhall.halls import Halls, Plan
 from lemonhall.interface import Outcome
 from lemonhall.loop import Loop, listen
 from lemonhall.loop.core import READ
@@ -50,15 +46,12 @@
 from lemonhall.members import Config
 from lemonhall.members.machine import View
 from lemonhall.problem import BadInput
-from lemonhall.recovery import Phase, Recovery, Waits
-from lemonhall.recovery.handed import pages
+from lemonhall.recovery import Recovery, Waits
 from lemonhall.seam import VERSION, Message, Redirect, Retire, Stored, Welcome
 
 log = structlog.get_logger("lemonhall.front")
 LOOK_BACK_S = 0.5
 HEAR_S = 0.03  # a front that starts waits so long before its call for the list
-MINUTE_MS = 60_000.0  # after which what was heard of a server is not handed on
-NEVER = float("-inf")
 PAUSE_MS = 2000.0  # the longest advised while a front comes back, where the settings name none
 
 
@@ -172,16 +165,9 @@
         self.point: Callable[[str], object] = lambda name: None
         self.listeners: list[socket.socket] = []
         self.host = ""
-        self.registry = prom.CollectorRegistry()
-        self.took = prom.Histogram(
-            "lemonhall_set_up_seconds",
-            "From the attempt's start to the first media",
-            registry=self.registry,
-            buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5),
-        )
-        self.asks.on_took = lambda ms: self.took.observe(ms / 1000)
-        self.registry.register(self)
         self.capture: Capturer | None = None
+        self.shown = Shown(self)
+        self.asks.on_took = self.shown.set_up_took
         self.bridge.carry_out.update(
             {
                 i.SetTimer: self.set_timer,
@@ -287,20 +273,7 @@
         at = viewers.getsockname()
         self.host = self.worker.host = at if isinstance(at, str) else f"{at[0]}:{at[1]}"
         if s.status:
-            pages: dict[str, status.Page] = {
-                "/health": self.health_page,
-                "/ready": self.ready_page,
-                "/metrics": self.metrics_page,
-                "/hooks": self.hooks.page,
-                "/members": self.members_page,
-                "/capture": self.capture_page,
-                "/halls": self.halls_page,
-            }
-            acts: dict[str, status.Act] = {
-                "/halls/hold": lambda hall: self.order_hall(hall, Order.HOLD),
-                "/halls/release": lambda hall: self.order_hall(hall, Order.NONE),
-            }
-            self.open_status(status.serve(self.loop, pages, acts), taken.status)
+            self.open_status(self.shown.serve(), taken.status)
         if s.peers_listen:
             self.peers = Peers(self.loop, s.peers_listen, s.index, s.peers, self.bridge.tell, taken.peers)
         self.asks.claims = Claims(self.loop, self.keeper, self.membership)
@@ -365,36 +338,18 @@
         desk.start()
 
     def known(self) -> list[Any]:
-        """Pages of the list and of what was learned of its servers, for one that has lost both."""
-        memory, now = self.memory(), self.now_ms()
-        learned = {s.server: s for s in memory.servers} if memory else {}
-        entries = []
-        for box in self.list.list.boxes.values():
-            entry = entry_of(box)
-            if one := learned.get(box.id):
-                entry.evidence, entry.others_kb = one.evidence, max(0.0, one.others_kb)
-                entry.heard_ms_ago = max(1, round(min(MINUTE_MS, now - one.heard_at)))
-                if one.heard_at < now - MINUTE_MS:
-                    entry.heard_ms_ago = 0
-            entries.append(entry)
-        return pages(entries, self.list.list.as_of_ms, self.list.list.version) if entries else []
+        return known(self.list.list, self.memory(), self.now_ms())
 
     def handed(self, page: Any) -> None:
         """What others knew counts as a kept list and a memory: each by its age, the loads as hearsay."""
-        update = Update(version=page.version, full=True, boxes=[box_of(e) for e in page.entries])
-        if not self.list.take_over(update):
+        if not self.list.take_over(list_of(page)):
             return
-        now = self.now_ms()
-        servers = tuple(
-            i.Learned(e.id, e.started_ms, e.evidence, 0.0, NEVER, e.others_kb, now - e.heard_ms_ago)
-            for e in page.entries
-            if e.heard_ms_ago
-        )
-        if (usual := self.memory()) is not None:
-            learned = (usual.length_ms, usual.ends, usual.set_up_ms, usual.set_up_spread)
-            self.bridge.tell(i.Memory(now, *learned, servers))
+        memory = memory_of(page, self.memory(), self.now_ms())
+        if memory is not None:
+            self.bridge.tell(memory)
         self.counts["handed_servers"] += len(page.entries)
-        log.info("list handed on by others", servers=len(page.entries), loads=len(servers))
+        loads = len(memory.servers) if memory else 0
+        log.info("list handed on by others", servers=len(page.entries), loads=loads)
         self.return_said(f"others knew of {len(page.entries)} servers")
 
     def return_said(self, words: str) -> None:
@@ -450,16 +405,6 @@
             fresh = event.kind != i.ListKind.CACHED
             self.asks.halls.listed(self.list.list.servers(), fresh)
 
-    def halls_page(self) -> tuple[int, str, bytes]:
-        if self.asks.halls is None:
-            return 404, "text/plain", b"no spill in the settings\n"
-        return self.asks.halls.page()
-
-    def order_hall(self, hall: str, what: Order) -> tuple[int, str, bytes]:
-        if self.asks.halls is None:
-            return 404, "text/plain", b"no spill in the settings\n"
-        return self.asks.halls.order(unquote(hall.removeprefix("hall=")), what)
-
     def call_list(self) -> None:
         """Of fronts that are heard to come back together each in its time."""
         self.loop.call_later(self.list.wait_s(), self.list.start)
@@ -720,79 +665,3 @@
             self.loop.call_soon(done, 502, b"")
         else:
             Call(self.loop, address, "/", done)
-
-    # what is seen from outside
-
-    def ready_page(self) -> tuple[int, str, bytes]:
-        if self.stopping or self.draining:
-            return 503, "text/plain", b"stopping\n" if self.stopping else b"draining\n"
-        if self.worker.over_memory:
-            return 503, "text/plain", b"over its memory\n"
-        if not self.list.list.boxes:
-            return 503, "text/plain", b"no box list yet\n"
-        return 200, "text/plain", b"ready\n"
-
-    def health_page(self) -> tuple[int, str, bytes]:
-        """200 while the loop turns, with how far the front has come back."""
-        desk = self.asks.returning
-        return desk.page() if desk else (200, "text/plain", b"ok\n")
-
-    def members_page(self) -> tuple[int, str, bytes]:
-        if self.membership is None:
-            return 404, "text/plain", b"no members in the settings\n"
-        status, kind, body = self.membership.page()
-        desk = self.asks.returning
-        shown = {**json.loads(body), "return": desk.show() if desk else None}
-        return status, kind, json.dumps(shown).encode() + b"\n"
-
-    def capture_page(self) -> tuple[int, str, bytes]:
-        """The last minutes, as a file."""
-        if self.capture is None:
-            return 404, "text/plain", b"the settings say capture on=#false\n"
-        return 200, "application/octet-stream", self.capture.save()
-
-    def metrics_page(self) -> tuple[int, str, bytes]:
-        return 200, "text/plain; version=0.0.4", prom.generate_latest(self.registry)
-
-    def phases(self) -> list[Any]:
-        phase = GaugeMetricFamily(
-            "lemonhall_phase", "How far the front has come back: 1 at its phase", labels=["phase"]
-        )
-        full = GaugeMetricFamily("lemonhall_full_service_seconds", "From its start until its phase was full")
-        if self.asks.returning:
-            shown = self.asks.returning.show()
-            for one in Phase:
-                phase.add_metric([one.name.lower()], float(one.name.lower() == shown["phase"]))
-            if shown["full_service_s"] is not None:
-                full.add_metric([], shown["full_service_s"])
-        return [phase, full]
-
-    def collect(self) -> list[Any]:
-        """The counters in the exposition's terms (prometheus_client asks for them)."""
-        happened = CounterMetricFamily("lemonhall_events", "What happened, by name", labels=["event"])
-        for name, value in sorted(Counter(self.counts).items()):
-            happened.add_metric([name], value)
-        now = GaugeMetricFamily("lemonhall_now", "What is open now, by name", labels=["what"])
-        viewers, sessions = self.gauges()
-        now.add_metric(["viewers"], viewers)
-        now.add_metric(["sessions"], sessions)
-        now.add_metric(["asks"], len(self.asks.open))
-        now.add_metric(["boxes"], len(self.list.list.boxes))
-        now.add_metric(["list_version"], self.list.list.version)
-        happened.add_metric(["older_lists"], self.list.list.older)
-        now.add_metric(["longest_pass_seconds"], self.loop.longest_pass_s)
-        said = CounterMetricFamily("lemonhall_hook", "Counted by hook scripts", labels=["name"])
-        for name, value in sorted(self.hooks.engine.metrics.items()):
-            said.add_metric([name], value)
-        scripts = CounterMetricFamily("lemonhall_hook_script", "Of each script", labels=["script", "what"])
-        for one in self.hooks.engine.report():
-            for what in ("calls", "fuel", "words"):
-                scripts.add_metric([one["script"], what], one[what])
-            scripts.add_metric([one["script"], "cuts"], sum(one["cuts"].values()))
-        overruled = CounterMetricFamily("lemonhall_hooks_overruled", "Words that did not stand")
-        overruled.add_metric([], sum(self.hooks.engine.overruled.values()))
-        if self.keeper:
-            for name, value in sorted((self.keeper.counts + self.asks.claims.counts).items()):
-                happened.add_metric([f"store_{name}"], value)
-            now.add_metric(["store_groups"], self.keeper.writer.groups)
-        return [happened, now, said, scripts, overruled, *self.phases()]
--- /dev/null
+++ b/lemonhall/front/process/shown.py
@@ -0,0 +1,166 @@
+"""What a front shows of itself: pages over HTTP, and the counters as Prometheus asks for them."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, Protocol
+from urllib.parse import unquote
+
+import prometheus_client as prom
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+from lemonhall.front.deciding.asks import Asks
+from lemonhall.front.deciding.hooks import Hooks
+from lemonhall.front.deciding.listclient import ListClient
+from lemonhall.front.deciding.membership import Membership
+from lemonhall.front.keeping.capturing import Capturer
+from lemonhall.front.keeping.keeper import Keeper
+from lemonhall.front.process import status
+from lemonhall.front.viewers.worker import Worker
+from lemonhall.halls import Order
+from lemonhall.loop import Loop
+from lemonhall.recovery import Phase
+
+SET_UP_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)  # the steps of the histogram
+
+
+class Front(Protocol):
+    """The daemon, as far as it is shown."""
+
+    loop: Loop
+    asks: Asks
+    list: ListClient
+    worker: Worker
+    hooks: Hooks
+    counts: Counter[str]
+    stopping: bool
+    draining: bool
+    membership: Membership | None
+    keeper: Keeper | None
+    capture: Capturer | None
+
+    def gauges(self) -> tuple[int, int]: ...
+
+
+class Shown:
+    def __init__(self, front: Front) -> None:
+        self.front = front
+        self.registry = prom.CollectorRegistry()
+        self.took = prom.Histogram(
+            "lemonhall_set_up_seconds",
+            "From the attempt's start to the first media",
+            registry=self.registry,
+            buckets=SET_UP_S,
+        )
+        self.registry.register(self)
+
+    def set_up_took(self, ms: float) -> None:
+        self.took.observe(ms / 1000)
+
+    def serve(self) -> Callable[[socket.socket, Any], object]:
+        """What takes connections to the status address."""
+        pages: dict[str, status.Page] = {
+            "/health": self.health_page,
+            "/ready": self.ready_page,
+            "/metrics": self.metrics_page,
+            "/hooks": self.front.hooks.page,
+            "/members": self.members_page,
+            "/capture": self.capture_page,
+            "/halls": self.halls_page,
+        }
+        acts: dict[str, status.Act] = {
+            "/halls/hold": lambda hall: self.order_hall(hall, Order.HOLD),
+            "/halls/release": lambda hall: self.order_hall(hall, Order.NONE),
+        }
+        return status.serve(self.front.loop, pages, acts)
+
+    # pages
+
+    def ready_page(self) -> tuple[int, str, bytes]:
+        if self.front.stopping or self.front.draining:
+            return 503, "text/plain", b"stopping\n" if self.front.stopping else b"draining\n"
+        if self.front.worker.over_memory:
+            return 503, "text/plain", b"over its memory\n"
+        if not self.front.list.list.boxes:
+            return 503, "text/plain", b"no box list yet\n"
+        return 200, "text/plain", b"ready\n"
+
+    def health_page(self) -> tuple[int, str, bytes]:
+        """200 while the loop turns, with how far the front has come back."""
+        desk = self.front.asks.returning
+        return desk.page() if desk else (200, "text/plain", b"ok\n")
+
+    def members_page(self) -> tuple[int, str, bytes]:
+        if self.front.membership is None:
+            return 404, "text/plain", b"no members in the settings\n"
+        status, kind, body = self.front.membership.page()
+        desk = self.front.asks.returning
+        shown = {**json.loads(body), "return": desk.show() if desk else None}
+        return status, kind, json.dumps(shown).encode() + b"\n"
+
+    def capture_page(self) -> tuple[int, str, bytes]:
+        """The last minutes, as a file."""
+        if self.front.capture is None:
+            return 404, "text/plain", b"the settings say capture on=#false\n"
+        return 200, "application/octet-stream", self.front.capture.save()
+
+    def metrics_page(self) -> tuple[int, str, bytes]:
+        return 200, "text/plain; version=0.0.4", prom.generate_latest(self.registry)
+
+    def halls_page(self) -> tuple[int, str, bytes]:
+        if self.front.asks.halls is None:
+            return 404, "text/plain", b"no spill in the settings\n"
+        return self.front.asks.halls.page()
+
+    def order_hall(self, hall: str, what: Order) -> tuple[int, str, bytes]:
+        if self.front.asks.halls is None:
+            return 404, "text/plain", b"no spill in the settings\n"
+        return self.front.asks.halls.order(unquote(hall.removeprefix("hall=")), what)
+
+    # counters
+
+    def phases(self) -> list[Any]:
+        phase = GaugeMetricFamily(
+            "lemonhall_phase", "How far the front has come back: 1 at its phase", labels=["phase"]
+        )
+        full = GaugeMetricFamily("lemonhall_full_service_seconds", "From its start until its phase was full")
+        if self.front.asks.returning:
+            shown = self.front.asks.returning.show()
+            for one in Phase:
+                phase.add_metric([one.name.lower()], float(one.name.lower() == shown["phase"]))
+            if shown["full_service_s"] is not None:
+                full.add_metric([], shown["full_service_s"])
+        return [phase, full]
+
+    def collect(self) -> list[Any]:
+        """The counters in the exposition's terms (prometheus_client asks for them)."""
+        happened = CounterMetricFamily("lemonhall_events", "What happened, by name", labels=["event"])
+        for name, value in sorted(Counter(self.front.counts).items()):
+            happened.add_metric([name], value)
+        now = GaugeMetricFamily("lemonhall_now", "What is open now, by name", labels=["what"])
+        viewers, sessions = self.front.gauges()
+        now.add_metric(["viewers"], viewers)
+        now.add_metric(["sessions"], sessions)
+        now.add_metric(["asks"], len(self.front.asks.open))
+        now.add_metric(["boxes"], len(self.front.list.list.boxes))
+        now.add_metric(["list_version"], self.front.list.list.version)
+        happened.add_metric(["older_lists"], self.front.list.list.older)
+        now.add_metric(["longest_pass_seconds"], self.front.loop.longest_pass_s)
+        said = CounterMetricFamily("lemonhall_hook", "Counted by hook scripts", labels=["name"])
+        for name, value in sorted(self.front.hooks.engine.metrics.items()):
+            said.add_metric([name], value)
+        scripts = CounterMetricFamily("lemonhall_hook_script", "Of each script", labels=["script", "what"])
+        for one in self.front.hooks.engine.report():
+            for what in ("calls", "fuel", "words"):
+                scripts.add_metric([one["script"], what], one[what])
+            scripts.add_metric([one["script"], "cuts"], sum(one["cuts"].values()))
+        overruled = CounterMetricFamily("lemonhall_hooks_overruled", "Words that did not stand")
+        overruled.add_metric([], sum(self.front.hooks.engine.overruled.values()))
+        if self.front.keeper:
+            for name, value in sorted((self.front.keeper.counts + self.front.asks.claims.counts).items()):
+                happened.add_metric([f"store_{name}"], value)
+            now.add_metric(["store_groups"], self.front.keeper.writer.groups)
+        return [happened, now, said, scripts, overruled, *self.phases()]
--- a/tests/front/test_capturing.py
+++ b/tests/front/test_capturing.py
@@ -180,7 +180,7 @@
     from lemonhall.front.process import status
     from lemonhall.loop import listen
 
-    pages = {"/capture": w.daemon.capture_page}
+    pages = {"/capture": w.daemon.shown.capture_page}
     at = listen(w.loop, ("127.0.0.1", 0), status.serve(w.loop, pages)).getsockname()
     got: list[bytes] = []
 
--- a/tests/front/test_membership.py
+++ b/tests/front/test_membership.py
@@ -138,7 +138,7 @@
     daemon = Daemon(read_settings(path), loop=Loop())
     daemon.open()
     assert daemon.membership and isinstance(daemon.membership.at[1], int)
-    status, _, body = daemon.members_page()
+    status, _, body = daemon.shown.members_page()
     assert status == 200 and b'"members": [0]' in body
     daemon.stop()
     daemon.loop.run()
