--- a/lemonhall/cli/day.py
+++ b/lemonhall/cli/day.py
@@ -16,9 +16,9 @@
 from lemonhall.day import DayFailed, play_day
 from lemonhall.day.frombench import from_bench
 from lemonhall.day.hunting import hunt
+from lemonhall.model.played.world import play
 from lemonhall.model.record import record as record_of
 from lemonhall.model.record import save
-from lemonhall.model.world import play
 from lemonhall.problem import BadInput
 
 
--- a/lemonhall/model/bounds.py
+++ b/lemonhall/model/bounds.py
@@ -10,7 +10,7 @@
 import numpy as np
 
 from lemonhall.config.day import Day
-from lemonhall.model.draws import Wish
+from lemonhall.model.played.draws import Wish
 
 DOWN = ("crash", "hang", "silent", "slow-dead", "drain-dead", "deploy")
 FOR_GOOD = ("slow-dead", "drain-dead")
--- a/lemonhall/model/fleet.py
+++ b/lemonhall/model/played/fleet.py
@@ -8,7 +8,7 @@
 from lemonhall.audit.trace import Attempt as Seen
 from lemonhall.config.day import BoxSpec
 from lemonhall.interface import NoteKind, Outcome, ServerState
-from lemonhall.model.parts import Caller, Stage
+from lemonhall.model.played.parts import Caller, Stage
 
 TRUE_RATES = 0.15  # a title's true rate lies so far above or below the ladder
 NOISE = 0.04  # of what servers report
--- a/lemonhall/model/fronts.py
+++ b/lemonhall/model/played/fronts.py
@@ -15,9 +15,9 @@
 from lemonhall.audit.trace import Attempt as Seen
 from lemonhall.halls import Halls, Plan
 from lemonhall.interface import NoteKind, Outcome, ServerState
-from lemonhall.model import deciders
-from lemonhall.model.fleet import Box
-from lemonhall.model.parts import Stage, Watcher
+from lemonhall.model.played import deciders
+from lemonhall.model.played.fleet import Box
+from lemonhall.model.played.parts import Stage, Watcher
 from lemonhall.recovery import Phase, Recovery, Waits
 
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
--- a/lemonhall/model/parts.py
+++ b/lemonhall/model/played/parts.py
@@ -9,8 +9,8 @@
 from lemonhall.audit.trace import Trace
 from lemonhall.config.day import Day
 from lemonhall.interface import NoteKind, Outcome
-from lemonhall.model.draws import Named, Wish
-from lemonhall.model.sim import Sim
+from lemonhall.model.played.draws import Named, Wish
+from lemonhall.model.played.sim import Sim
 
 
 class Caller(Protocol):
--- a/lemonhall/model/viewers.py
+++ b/lemonhall/model/played/viewers.py
@@ -7,9 +7,9 @@
 
 from lemonhall.audit.trace import Ask as SeenAsk
 from lemonhall.interface import Repeat
-from lemonhall.model.draws import Wish
-from lemonhall.model.fronts import Ask, Front
-from lemonhall.model.parts import Stage
+from lemonhall.model.played.draws import Wish
+from lemonhall.model.played.fronts import Ask, Front
+from lemonhall.model.played.parts import Stage
 
 TRIES_MOST = 4
 TOLD_SPREAD_S = 0.5  # as the stand-ins'
--- a/lemonhall/model/world.py
+++ b/lemonhall/model/played/world.py
@@ -18,12 +18,12 @@
 from lemonhall.config.routing import title_of
 from lemonhall.config.settings import FrontSettings
 from lemonhall.interface import ServerState
-from lemonhall.model import deciders
-from lemonhall.model.draws import Named, Wish, wishes
-from lemonhall.model.fleet import TRUE_RATES, Box, BoxList, Rack
-from lemonhall.model.fronts import Front, Make
-from lemonhall.model.sim import Sim
-from lemonhall.model.viewers import Viewer
+from lemonhall.model.played import deciders
+from lemonhall.model.played.draws import Named, Wish, wishes
+from lemonhall.model.played.fleet import TRUE_RATES, Box, BoxList, Rack
+from lemonhall.model.played.fronts import Front, Make
+from lemonhall.model.played.sim import Sim
+from lemonhall.model.played.viewers import Viewer
 from lemonhall.problem import BadInput
 
 OVER_MS = 60_000.0  # behind the day's length, for its last viewers
--- a/lemonhall/model/record.py
+++ b/lemonhall/model/record.py
@@ -14,7 +14,7 @@
 
 from lemonhall.audit.trace import Trace
 from lemonhall.config.day import Day
-from lemonhall.model.draws import Wish
+from lemonhall.model.played.draws import Wish
 from lemonhall.problem import BadInput, nearest
 
 COLUMNS = ("person", "at_ms", "class", "partner", "title", "hall", "length_ms", "top", "vanishes")
--- a/lemonhall/model/result.py
+++ b/lemonhall/model/result.py
@@ -15,7 +15,7 @@
 from lemonhall.audit.trace import NEVER_RAN
 from lemonhall.config.day import Day
 from lemonhall.model.bounds import upper_bound
-from lemonhall.model.world import Played
+from lemonhall.model.played.world import Played
 
 
 @dataclass
--- a/lemonhall/model/runs.py
+++ b/lemonhall/model/runs.py
@@ -15,11 +15,11 @@
 
 from lemonhall import decide
 from lemonhall.config.day import Day, read_day
-from lemonhall.model.fronts import Make
+from lemonhall.model.played.fronts import Make
+from lemonhall.model.played.world import play
 from lemonhall.model.policies import POLICIES
 from lemonhall.model.record import wishes_of
 from lemonhall.model.result import Row, load_row, row_of, save_row, write_tables
-from lemonhall.model.world import play
 from lemonhall.problem import BadInput, nearest
 
 
--- a/lemonhall/recovery/machine.py
+++ b/lemonhall/recovery/machine.py
@@ -165,8 +165,11 @@
             gate.per_s, gate.eased_from = inf, inf
             return
         own, mean, before = self.knows()
+        if mean <= 0 and self.quota > 0:
+            own = mean = self.quota / self.fronts
+            before = self.fronts
         per_s = pace.part(max(0.0, own if own >= 0 else mean), mean, before, self.fronts, self.servers)
-        gate.per_s = per_s or pace.unknown(self.fronts, self.servers, self.quota)
+        gate.per_s = per_s or pace.unknown(self.fronts, self.servers)
 
     # evidence
 
--- a/lemonhall/recovery/pace.py
+++ b/lemonhall/recovery/pace.py
@@ -44,11 +44,9 @@
     return plan(whole, servers) / whole * (here + whole / max(1, fronts)) / 2
 
 
-def unknown(fronts: int, servers: int, quota: float = 0.0) -> float:
-    """The same where nobody can say what is usual. `quota`: set-ups a second of all partners together; 0: not
-    told. It is the most that is usual, so nothing is added to it."""
-    whole = UNKNOWN_PER_SERVER * max(1, servers) / SPAN_S
-    return (min(whole, quota) if quota > 0 else whole) / max(1, fronts)
+def unknown(fronts: int, servers: int) -> float:
+    """The same where nobody can say what is usual."""
+    return UNKNOWN_PER_SERVER * max(1, servers) / SPAN_S / max(1, fronts)
 
 
 class Usual:
--- a/tests/captures/make.py
+++ b/tests/captures/make.py
@@ -18,7 +18,7 @@
 from lemonhall.capture.ring import Told
 from lemonhall.capture.shapes import pack
 from lemonhall.config.day import read_day
-from lemonhall.model.world import World
+from lemonhall.model.played.world import World
 from tests.captures.guards import GUARDS
 
 HERE = Path(__file__).parent
--- a/tests/day/test_frombench.py
+++ b/tests/day/test_frombench.py
@@ -13,7 +13,7 @@
 from lemonhall.config.day import read_day
 from lemonhall.day.frombench import FRONTS_MOST, KINDS, SERVERS_MOST, from_bench
 from lemonhall.interface import Repeat
-from lemonhall.model.world import play
+from lemonhall.model.played.world import play
 from lemonhall.problem import BadInput
 
 TROUBLES = [
--- a/tests/halls/test_return.py
+++ b/tests/halls/test_return.py
@@ -13,7 +13,7 @@
 from lemonhall.config.day import read_day
 from lemonhall.halls import Sight
 from lemonhall.halls.parts import Parts
-from lemonhall.model.world import Played, play
+from lemonhall.model.played.world import Played, play
 
 DAYS = Path(__file__).parents[2] / "examples" / "days"
 MANY = ("mix /nile/browse/", "per-second", "80")
--- a/tests/model/test_credible.py
+++ b/tests/model/test_credible.py
@@ -7,8 +7,8 @@
 
 from lemonhall.config.day import read_day
 from lemonhall.day import play_day
+from lemonhall.model.played.world import play
 from lemonhall.model.record import record, save, wishes_of
-from lemonhall.model.world import play
 
 DAY = Path(__file__).parent / "small.kdl"
 
--- a/tests/model/test_deciders.py
+++ b/tests/model/test_deciders.py
@@ -10,8 +10,8 @@
 
 from lemonhall.config.day import Day, read_day
 from lemonhall.interface import Outcome
-from lemonhall.model import deciders
-from lemonhall.model.world import Played, play
+from lemonhall.model.played import deciders
+from lemonhall.model.played.world import Played, play
 
 DAYS = Path(__file__).parents[2] / "examples" / "days"
 KILLS = "".join(
--- a/tests/model/test_model.py
+++ b/tests/model/test_model.py
@@ -18,13 +18,13 @@
 from lemonhall.interface import Repeat
 from lemonhall.model.bounds import capacity, upper_bound
 from lemonhall.model.compare import compare
-from lemonhall.model.draws import Named, stream, wishes
+from lemonhall.model.played.draws import Named, stream, wishes
+from lemonhall.model.played.sim import Sim
+from lemonhall.model.played.world import World, play
 from lemonhall.model.policies import POLICIES
 from lemonhall.model.record import record, save, wishes_of
 from lemonhall.model.result import Row, row_of, session_table
 from lemonhall.model.runs import Runner, Version, changed, run_many
-from lemonhall.model.sim import Sim
-from lemonhall.model.world import World, play
 from lemonhall.problem import BadInput
 
 DAYS = Path(__file__).parents[2] / "examples" / "days"
