--- a/tests/front/test_daemon.py
+++ b/tests/front/test_daemon.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -11,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
+from threading import Timer
 from typing import Any
 
 import pytest
@@ -223,7 +225,8 @@
 class Process:
     """`lemonhall serve` as operators start it."""
 
-    def __init__(self, folder: Path, front: str, *words: str) -> None:
+    def __init__(self, folder: Path, front: str, *words: str, file_bytes: int = 0) -> None:
+        """`file_bytes`: no file of the process grows beyond that (setrlimit(2), RLIMIT_FSIZE)."""
         path = folder / "front.kdl"
         path.write_text(TERMS + front)
         self.popen = subprocess.Popen(
@@ -232,6 +235,8 @@
             stderr=subprocess.PIPE,
             text=True,
         )
+        if file_bytes:
+            resource.prlimit(self.popen.pid, resource.RLIMIT_FSIZE, (file_bytes, file_bytes))
 
     def serving(self) -> tuple[str, int]:
         assert self.popen.stdout
@@ -265,6 +270,27 @@
     assert [e for e in events if e != "phase"][0] == "serving" and "stopping" in events
 
 
+def test_a_disk_that_is_full_at_the_start_costs_paid_sessions_alone(tmp_path: Path) -> None:
+    """Where a store was begun; where none could be, the start ends and names the folder."""
+    front = f'front "f0" hall="hall-a" listen="127.0.0.1:0" {{\n store "{tmp_path / "kept"}"\n}}\n'
+    said = "store cannot be written, no paid sessions"
+    for full in (False, True):
+        process = Process(tmp_path, front, file_bytes=4096 if full else 0)
+        process.serving()
+        assert process.popen.stderr
+        late = Timer(20, process.popen.kill)
+        late.start()
+        if full:
+            assert any(said in line for line in process.popen.stderr)
+        late.cancel()
+        process.popen.terminate()
+        _, errors = process.popen.communicate(timeout=20)
+        assert process.popen.returncode == 0 and (full or said not in errors)
+    process = Process(tmp_path, front.replace("kept", "new"), file_bytes=4096)
+    _, errors = process.popen.communicate(timeout=20)
+    assert process.popen.returncode == 2 and str(tmp_path / "new") in errors
+
+
 @pytest.mark.parametrize(
     ("front", "said"),
     [
