--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -84,9 +84,9 @@
     """Medians, and the least and the most; counts are added up."""
     row: dict[str, Any] = {"what": name, "plays": len(told)}
     for key in KEYS:
-        values = [t[key] for t in told]
+        values = [t[key] for t in told if key in t]  # a day without a kill has no return
         row[key] = [statistics.median(values), min(values), max(values)] if values else []
-    row |= {key: sum(t[key] for t in told) for key in SUMS}
+    row |= {key: sum(t.get(key, 0) for t in told) for key in SUMS}
     print(json.dumps(row), flush=True)
 
 
