--- a/lemonhall/standins/box.py
+++ b/lemonhall/standins/box.py
@@ -155,6 +155,7 @@
         self.life = 0
         self.listener: socket.socket | None = None
         self.port = 0
+        self.reserved: socket.socket | None = None  # its port, also while it is dead
         self.conns: set[Connection] = set()
         self.next_conn = self.next_session = 0
         self.asked, self.held = 0.0, 0
@@ -174,8 +175,14 @@
         self.error_part, self.slow_since = 0.0, None
         self.recent.clear()
         self.started_ms = time.time() * 1000
+        if self.reserved is None:
+            # Bound and not listening. Guards against another process that is given the port of a dead box:
+            # its successor could not listen, and fronts of another day would play here.
+            self.reserved = socket.socket()
+            self.reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            self.reserved.bind(("127.0.0.1", 0))
+            self.port = self.reserved.getsockname()[1]
         self.listener = listen(self.loop, ("127.0.0.1", self.port), self.accept, share=True)
-        self.port = self.listener.getsockname()[1]
         self.tap.write(self.who, 0, "start", life=life, cold=cold, port=self.port)
         self.loop.call_later(self.random.random(), self.tell_late, life)
         started = self.started_ms if cold else 0.0
