--- a/tests/front/test_daemon.py
+++ b/tests/front/test_daemon.py
@@ -28,6 +28,7 @@
 from lemonhall.rtsp import Request
 from lemonhall.rtsp.messages import make_response
 from tests.front.world import TERMS, World
+from tests.ports import free_port
 
 Build = Callable[..., World]
 
@@ -244,12 +245,6 @@
         return host, int(port)
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 def test_the_process_serves_tells_of_itself_and_stops_on_a_signal(tmp_path: Path) -> None:
     status = free_port()
     front = f'front "f0" hall="hall-a" listen="127.0.0.1:0" status="127.0.0.1:{status}" {{\n}}\n'
--- a/tests/node/running.py
+++ b/tests/node/running.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from tests.node.world import Names, Peer, Server, config
+from tests.ports import free_port
 
 ROOT = Path(__file__).parents[2]
 NODE = [sys.executable, "-m", "lemonhall.front.node"]
@@ -26,8 +27,7 @@
         self.names, self.servers = Names(), [Server(f"s-{n:08x}", n) for n in range(2)]
         self.names.servers = list(self.servers)
         self.path = folder / "config.json"
-        with socket.create_server(("127.0.0.1", 0)) as probe:
-            self.address = probe.getsockname()
+        self.address = ("127.0.0.1", free_port())
         self.others: list[Names] = []
         self.write(self.names)
         self.log = open(folder / "log", "w+")  # noqa: SIM115
