Audit: an attempt's end is when it came, not when a starved stand-in read it

A stand-in now reads a connection to its end, looks at its sockets each 20 ms at least and writes beside a close the time of its last look before it (`since`: it cannot have come earlier); a request carries for how long the kernel held it (TCP_INFO). The audit uses both. The slack for ends is 200 ms in place of 250, since a stand-in that runs tells an end up to two looks early: not looser where the machine runs everybody.

--- a/lemonhall/audit/halls.py
+++ b/lemonhall/audit/halls.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from lemonhall.audit.rules import SLACK_MS
+from lemonhall.audit.rules import ENDS_SLACK_MS
 from lemonhall.audit.trace import Trace
 from lemonhall.config.day import Day
 
@@ -43,7 +43,7 @@
     for attempt in trace.attempts:
         if attempt.box not in boxes or attempt.front not in fronts:
             continue
-        end = max(attempt.at, attempt.end - SLACK_MS)  # a front knows of an end before a tap does
+        end = max(attempt.at, attempt.end - ENDS_SLACK_MS)  # a front knows of an end before a tap does
         marks = [(at, bits) for at, bits in attempt.rates if at < end] + [(end, 0.0)]
         for (at, bits), (until, _) in zip(marks, marks[1:], strict=False):
             steps += [(at, bits / 8000), (until, -bits / 8000)]
--- a/lemonhall/audit/rules.py
+++ b/lemonhall/audit/rules.py
@@ -16,6 +16,7 @@
 from lemonhall.interface import Repeat, ServerState
 
 SLACK_MS = 250.0
+ENDS_SLACK_MS = 200.0  # of an attempt's end, which is told early by two looks (standins/arrival.py) at most
 Check = Callable[[Trace, Terms], list[str]]
 
 
@@ -105,7 +106,7 @@
         if not token:
             continue
         for n, later in enumerate(attempts):
-            if any(earlier.end - SLACK_MS > later.at for earlier in attempts[:n]):
+            if any(earlier.end - ENDS_SLACK_MS > later.at for earlier in attempts[:n]):
                 broken.append(f"ask {token}: at {later.box} while an earlier attempt was out")
     return broken
 
@@ -202,7 +203,7 @@
         ask = trace.asks.get(attempt.token)
         if ask and terms.classes[ask.cls].seats and not attempt.never_ran:
             key = (attempt.front, ask.cls, ask.title)
-            end = max(attempt.at, attempt.end - SLACK_MS)
+            end = max(attempt.at, attempt.end - ENDS_SLACK_MS)
             held[key] += [(attempt.at, 1), (end, -1)]
     broken = []
     for (front, cls, title), steps in held.items():
--- a/lemonhall/audit/trace.py
+++ b/lemonhall/audit/trace.py
@@ -45,6 +45,7 @@
     """One SETUP at a media server, with the rates asked of it until its end.
 
     `at` and `end` are of the front's side of a link that holds things back: it answers for what it sends.
+    They are when what began and ended it came, or the earliest that it can have, not when it was read.
     """
 
     token: str
@@ -106,6 +107,11 @@
     return sorted(records, key=lambda r: r["t"])
 
 
+def earliest(r: Record) -> float:
+    """When what was read here can have come first (standins/arrival.py)."""
+    return float(r.get("since", r["t"]))
+
+
 class Links:
     """What relays noted of connections, by their port at the far side: bytes that came, that were passed on.
 
@@ -188,10 +194,11 @@
         elif what == "fine":
             late[:] = [(at, min(to, r["t"]) if f == r["there"] else to, f) for at, to, f in late]
         else:
-            self.links.note(what, r["port"], r["bytes"], r["t"])
+            at = earliest(r)
+            self.links.note(what, r["port"], r["bytes"], at)
             if what == "left" and (conn := self.links.conns.get(r["port"])):
                 for attempt in self.open.get(conn, ()):
-                    attempt.end = min(attempt.end, r["t"])
+                    attempt.end = min(attempt.end, at)
 
     def day(self, r: Record) -> None:
         if r["what"] == "front-frozen":
@@ -278,13 +285,14 @@
                 attempt.media_at = min(attempt.media_at, r["t"])
         elif what == "close":
             for attempt in self.open.pop((box, conn), []):
-                attempt.end = min(attempt.end, r["t"])
+                attempt.end = min(attempt.end, max(attempt.at, earliest(r)))
 
     def box_request(self, box: str, conn: int, r: Record) -> None:
         headers = r["headers"]
         bits = headers.get("Bandwidth", "")
         session = headers.get("Session", "").partition(";")[0]
-        sent = self.links.sent(self.links.ports.get((box, conn), 0), r.get("read", 0), r["t"])
+        came = r["t"] - r.get("ago", 0.0)
+        sent = self.links.sent(self.links.ports.get((box, conn), 0), r.get("read", 0), came)
         if r["method"] == "SETUP" and not session:
             token = ASK.search(r["url"])
             attempt = Attempt(
--- a/lemonhall/links/process.py
+++ b/lemonhall/links/process.py
@@ -11,6 +11,7 @@
 from lemonhall.links.network import LIST, VIEWERS, Ends, Network
 from lemonhall.links.relay import Address, Door, Wire
 from lemonhall.loop import Loop
+from lemonhall.standins.arrival import Looks
 from lemonhall.standins.control import say
 from lemonhall.standins.tap import Tap
 
@@ -37,7 +38,7 @@
     """Commands: `wire` (who is where; answer: where each goes through), `aim`, `hold`, `lift`, `reset`."""
 
     def __init__(self, loop: Loop, tap: Tap, day: Day, seed: int) -> None:
-        self.loop, self.tap, self.seed = loop, tap, seed
+        self.loop, self.tap, self.seed, self.looks = loop, tap, seed, Looks(loop)
         self.network = Network(Ends.of(day))
         for n, link in enumerate(day.links):
             self.network.hold(-1 - n, link)
@@ -87,6 +88,8 @@
         return made
 
     def tell(self, what: str, **fields: Any) -> None:
+        if what == "left":
+            fields["since"] = round(self.looks.since_ms(), 2)
         self.tap.write("links", 0, what, **{"from" if k == "who" else k: v for k, v in fields.items()})
 
     def do_aim(self, asked: dict[str, Any]) -> None:
--- a/lemonhall/standins/box.py
+++ b/lemonhall/standins/box.py
@@ -22,6 +22,7 @@
 from lemonhall.rtsp.messages import make_response, parse_npt, parse_transport, split_url
 from lemonhall.rtsp.parser import frame
 from lemonhall.standins import media
+from lemonhall.standins.arrival import Looks, data_ago_ms
 from lemonhall.standins.control import say
 from lemonhall.standins.tap import Tap
 
@@ -32,8 +33,8 @@
 class Rack:
     """What boxes of one rack share: the uplink."""
 
-    def __init__(self, uplink_kb: float) -> None:
-        self.uplink_kb, self.factor = uplink_kb, 1.0
+    def __init__(self, uplink_kb: float, looks: Looks) -> None:
+        self.uplink_kb, self.factor, self.looks = uplink_kb, 1.0, looks
         self.boxes: list[Box] = []
 
     def use(self) -> float:
@@ -52,11 +53,13 @@
         self.stream = Stream(box.loop, sock, self, high=1 << 18)
 
     def data(self, view: memoryview) -> None:
+        self.box.loop.call_soon(self.stream.look)  # an end behind it is read now, not a pass later
+        ago_ms = data_ago_ms(self.stream.sock)
         for event in self.parser.feed(view):
             if isinstance(event, Request):
-                self.box.tap.message(self.box.who, self.conn, "in", event, self.stream.read)
+                self.box.tap.message(self.box.who, self.conn, "in", event, self.stream.read, ago_ms)
                 self.via = event.headers.get("Via").rpartition(" ")[2] or self.via
-                self.box.on_request(self, event)
+                self.box.on_request(self, event, ago_ms)
             elif isinstance(event, Malformed):
                 self.stream.abort()
 
@@ -69,7 +72,8 @@
             self.stream.write(response.encode())
 
     def closed(self, reason: str) -> None:
-        self.box.tap.write(self.box.who, self.conn, "close", reason=reason)
+        since = round(self.box.looks.since_ms(), 2)
+        self.box.tap.write(self.box.who, self.conn, "close", reason=reason, since=since)
         for playing in list(self.sessions.values()):
             playing.end()
         self.box.conns.discard(self)
@@ -150,6 +154,7 @@
         random: Random,
     ) -> None:
         self.loop, self.tap, self.rack, self.spec, self.terms = loop, tap, rack, spec, terms
+        self.looks = rack.looks
         self.set_up_ms, self.fps, self.random = set_up_ms, fps, random
         self.who = f"box:{spec.name}"
         self.life = 0
@@ -239,12 +244,13 @@
 
     # requests
 
-    def on_request(self, conn: Connection, request: Request) -> None:
+    def on_request(self, conn: Connection, request: Request, ago_ms: float = 0.0) -> None:
+        """`ago_ms`: how long it lay unread."""
         if self.still:
             self.delayed.append((conn, request))
             return
         if request.method == "SETUP":
-            self.count_cold()
+            self.count_cold(ago_ms)
             if not conn.stream.open:
                 return
             slow = 1.0
@@ -259,12 +265,12 @@
             else:
                 conn.respond(request, 501)
 
-    def count_cold(self) -> None:
+    def count_cold(self, ago_ms: float) -> None:
         """A cold box that is sent too much for its present warmth falls over and stays down."""
         if not self.cold:
             return
-        terms, now = self.terms, self.loop.now() * 1000
-        age = time.time() * 1000 - self.started_ms
+        terms, now = self.terms, self.loop.now() * 1000 - ago_ms
+        age = time.time() * 1000 - ago_ms - self.started_ms
         if age >= terms.warm_ms:
             self.cold = False
             return
@@ -383,7 +389,7 @@
     seed: int,
 ) -> Any:
     """Builds the boxes of a rack and gives the function that obeys commands about them."""
-    rack = Rack(uplink_kb)
+    rack = Rack(uplink_kb, Looks(loop))
     boxes = {
         s.name: Box(loop, tap, rack, s, terms, set_up_ms, fps, Random(f"{seed}/{s.name}")) for s in specs
     }
--- a/lemonhall/standins/tap.py
+++ b/lemonhall/standins/tap.py
@@ -41,9 +41,16 @@
             self.file.write(json.dumps(record, separators=(",", ":")) + "\n")
 
     def message(
-        self, who: str, conn: int, way: str, message: Request | Response, read: int | None = None
+        self,
+        who: str,
+        conn: int,
+        way: str,
+        message: Request | Response,
+        read: int | None = None,
+        ago_ms: float = 0.0,
     ) -> None:
-        """A message that came in (`in`) or went out (`out`). `read`: bytes of its connection up to it."""
+        """A message that came in (`in`) or went out (`out`). `read`: bytes of its connection up to it;
+        `ago_ms`: how long it lay unread."""
         headers = {name: message.headers.get(name) for name in KEPT if name in message.headers}
         body = message.body.decode(errors="replace") if len(message.body) < 200 else ""
         if isinstance(message, Request):
@@ -58,6 +65,7 @@
                 headers=headers,
                 body=body,
                 **({} if read is None else {"read": read}),
+                **({"ago": ago_ms} if ago_ms else {}),
             )
         else:
             self.write(
--- a/tests/audit/test_links.py
+++ b/tests/audit/test_links.py
@@ -5,7 +5,7 @@
 from math import inf
 from typing import Any
 
-from lemonhall.audit.rules import unanswered
+from lemonhall.audit.rules import attempts_at_once, unanswered
 from lemonhall.audit.trace import Reader, Record, Trace
 from lemonhall.config.settings import Terms
 from lemonhall.interface import ServerState
@@ -48,6 +48,23 @@
     assert (attempt.at, attempt.end) == (40, 90)
 
 
+def test_a_stand_in_that_did_not_run_reads_late_what_came_in_time(terms: Terms) -> None:
+    """The second server read its set-up at 900, the first one the end of its own at 1500: it came before."""
+
+    def another(ago: float) -> Record:
+        again = {"t": 900, "who": "box:b1", "conn": 1}
+        return {**set_up(900, 100), **again, "ago": ago}
+
+    def played(since: float, ago: float = 0.0) -> list[str]:
+        end = box(1500, "close", reason="reset", since=since)
+        opened = [box(1, "open", life=1, port=7), {**box(2, "open", life=1, port=8), "who": "box:b1"}]
+        return attempts_at_once(read(*opened, set_up(40, 100), another(ago), end), terms)
+
+    assert not played(since=880) and not played(since=1100)
+    assert played(since=1101) and played(since=1500)  # it ran, and the first was out
+    assert played(since=1001, ago=100) and not played(since=1000, ago=100)  # when the second came counts
+
+
 def told(t: float, port: int, sent: int) -> Record:
     states = {"5": int(ServerState.DRAINING)}
     news = {"front": "front-0", "full": False, "boxes": states, "port": port, "sent": sent}
