--- a/lemonhall/audit/trace.py
+++ b/lemonhall/audit/trace.py
@@ -109,7 +109,7 @@
 
 def earliest(r: Record) -> float:
     """When what was read here can have come first (standins/arrival.py)."""
-    return float(r.get("since", r["t"]))
+    return float(r["since"] if "since" in r else r["t"])
 
 
 class Links:
