--- a/tests/front/test_stock_player.py
+++ b/tests/front/test_stock_player.py
@@ -10,6 +10,7 @@
 
 from lemonhall import interface as i
 from lemonhall.config.day import BoxSpec
+from lemonhall.standins.arrival import Looks
 from lemonhall.standins.box import Box, Rack
 from lemonhall.standins.tap import Tap
 from tests.front.world import World
@@ -43,7 +44,7 @@
     monkeypatch.setattr("lemonhall.standins.box.say", lambda **_: None)
     from random import Random
 
-    rack, made = Rack(0.0), []
+    rack, made = Rack(0.0, Looks(w.loop)), []
     for n in range(2):
         spec = BoxSpec(f"b{n}", 0, 0, 0, 1.0, 5000.0)
         made.append(Box(w.loop, Tap(), rack, spec, w.settings.terms, (1.0, 5.0), 25.0, Random(n)))
