Limits for the whole fleet: the pure machine, and halls as a user of its parts

`lemonhall/limits` holds exact, paced and soft limits: parts of a limit are lent by numbered grants (the `Parts` of `lemonhall/halls`, moved; halls use them as before), loans have leases, a front that remembers nothing waits until all have spoken or every loan is over, a limit smaller than the number of fronts belongs to some of them by rendezvous. Nothing is kept on disk. Paced: token buckets by the part, whose tokens do not move. Soft: counters that join, with their age and what may have been added since.

Not used by a front yet.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	$(PY) -m grpc_tools.protoc -Iproto --python_out=lemonhall/capture --pyi_out=lemonhall/capture proto/capture.proto
 	$(PY) -m grpc_tools.protoc -Iproto --python_out=lemonhall/halls --pyi_out=lemonhall/halls proto/halls.proto
 	$(PY) -m grpc_tools.protoc -Iproto --python_out=lemonhall/recovery --pyi_out=lemonhall/recovery proto/recovery.proto
+	$(PY) -m grpc_tools.protoc -Iproto --python_out=lemonhall/limits --pyi_out=lemonhall/limits proto/limits.proto
 
 # Lays what the operators' bench wants beside our own customers' settings: make sites KIT=the folder of one of theirs.
 sites:
--- a/lemonhall/halls/machine.py
+++ b/lemonhall/halls/machine.py
@@ -22,11 +22,11 @@
 
 from lemonhall import interface as i
 from lemonhall.halls.halls_pb2 import Kept, Words
-from lemonhall.halls.parts import Loan, Parts
-from lemonhall.halls.plan import MILLION, Plan, Tier
-from lemonhall.halls.reserve import Reserve
+from lemonhall.halls.plan import Plan, Tier
 from lemonhall.halls.sight import Change, Order, Sight, State
 from lemonhall.interface import Outcome, Repeat
+from lemonhall.limits.parts import MILLION, Loan, Parts, own_part
+from lemonhall.limits.reserve import Reserve
 
 LOST = (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT)
 ALIVE = (Outcome.OK, Outcome.FULL, Outcome.ERROR)
@@ -109,7 +109,9 @@
         self.by_server: dict[int, int] = {}
         self.cells: list[set[int]] = [set() for _ in plan.halls]  # that each hall has ever had
         self.tiers = [t for t in plan.tiers if t.hall == home]
-        self.parts = [Parts(number, fronts, remembers) for _ in plan.limits]
+        own = own_part(number, fronts) if number < fronts else 0
+        unheard = set() if remembers else set(range(fronts)) - {number}
+        self.parts = [Parts(own, unheard) for _ in plan.limits]
         self.reserves = [Reserve() for _ in plan.limits]
         self.rates = [Bucket(at=now) for _ in plan.limits]
         self.ramp = Bucket(at=now)
--- a/lemonhall/halls/plan.py
+++ b/lemonhall/halls/plan.py
@@ -10,8 +10,6 @@
 
 from lemonhall import interface as i
 
-MILLION = 1_000_000  # parts of a limit are told in millionths of it
-
 
 @dataclass(frozen=True)
 class Tier:
--- a/lemonhall/halls/parts.py
+++ b/lemonhall/limits/parts.py
@@ -13,13 +13,16 @@
 one holds is at no time more than what the other counts as gone. A life is a process that remembers; words to
 or of an earlier one are void. One that remembers nothing may have lent all of its own part: it uses nothing
 of it until every other front has said what it holds.
+
+Who gives loans an end (limits/machine.py) calls `lapse` where they were borrowed, then `take_back` where they
+were lent; `settled` drops what has come to nothing on both sides.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from lemonhall.halls.plan import MILLION
+MILLION = 1_000_000  # parts of a limit that is a share are told in millionths of it
 
 
 @dataclass
@@ -32,19 +35,22 @@
 
 
 def own_part(number: int, fronts: int, whole: int = MILLION) -> int:
-    """Whole numbers that add up to the whole over all fronts."""
+    """Whole numbers that add up to the whole over all fronts; the first ones by number have one more."""
     return whole // fronts + (number < whole % fronts)
 
 
 class Parts:
-    """This front's side of one limit. Amounts are millionths; `used` is the owner's to tell."""
+    """This front's side of one limit, in whole units of it; `used` is the owner's to tell.
+
+    `own`: its part by the settings. `unheard`: fronts that may hold some of it, of which nothing is known.
+    `numbers`: of all grants of this front, where several limits share them.
+    """
 
-    def __init__(self, number: int, fronts: int, remembers: bool) -> None:
-        self.number, self.fronts = number, fronts
-        self.own = own_part(number, fronts) if number < fronts else 0
+    def __init__(self, own: int, unheard: set[int], numbers: list[int] | None = None) -> None:
+        self.own, self.unheard = own, set(unheard)
+        self.numbers = numbers if numbers is not None else [0]
         self.lent: dict[int, Loan] = {}
         self.held: dict[int, Loan] = {}
-        self.unheard = set() if remembers else set(range(fronts)) - {number}
         self.used = 0
         self.need = 0
         self.lent_sum = self.held_sum = 0
@@ -64,11 +70,14 @@
         self.telling = {*lent, *held}
         self.lent_sum = sum(loan.amount for loan in lent.values())
         self.held_sum = sum(loan.amount for loan in held.values())
+        self.numbers[0] = max([self.numbers[0], *(loan.seq for loan in lent.values())])
 
-    def set_lent(self, other: int, loan: Loan, seq: int, amount: int) -> None:
+    def set_lent(self, other: int, loan: Loan, after: int, amount: int) -> None:
+        """Under a number that was never used, behind `after`."""
+        self.numbers[0] = max(self.numbers[0], after) + 1
         self.telling.add(other)
         self.lent_sum += amount - loan.amount
-        loan.seq, loan.amount, loan.open = seq, amount, True
+        loan.seq, loan.amount, loan.open = self.numbers[0], amount, True
         self.dirty = True
 
     def to_tell(self) -> set[int]:
@@ -87,9 +96,13 @@
     def reborn(self, other: int) -> None:
         """The other's process remembers nothing: what it held of this front's ended with it."""
         if loan := self.lent.get(other):
-            self.set_lent(other, loan, loan.seq + 1, 0)
+            self.set_lent(other, loan, loan.seq, 0)
+        self.anew(other)
+
+    def anew(self, other: int) -> None:
+        """The other counts its grants anew; what is held of it stays so until it has heard."""
         if loan := self.held.get(other):
-            loan.seq = 0  # it counts its grants anew; what is held stays so until it has heard
+            loan.seq = 0
 
     def granted(self, other: int, seq: int, amount: int) -> None:
         """Another's word on what it lends this front, said in its present life to ours."""
@@ -104,35 +117,74 @@
         loan = self.lent.setdefault(other, Loan())
         if other in self.unheard:
             self.unheard.discard(other)
-            self.set_lent(other, loan, max(loan.seq, seq) + 1, amount)
+            self.set_lent(other, loan, max(loan.seq, seq), amount)
         elif seq == loan.seq:
             loan.open = False
             if amount < loan.amount:
-                self.set_lent(other, loan, seq + 1, amount)
+                self.set_lent(other, loan, seq, amount)
 
     def lend(self, other: int, asked: int) -> int:
         """Lends as much as is asked of what is free, at most half of it. What was lent."""
         spare = max(0, self.own_free() - self.need)
-        given = min(asked, (spare + 1) // 2)
+        return self.grant(other, min(asked, (spare + 1) // 2))
+
+    def grant(self, other: int, given: int) -> int:
+        """Lends so much. What was lent: nothing, before all have spoken."""
         if given <= 0 or self.unheard:
             return 0
         loan = self.lent.setdefault(other, Loan())
-        self.set_lent(other, loan, loan.seq + 1, loan.amount + given)
+        self.set_lent(other, loan, loan.seq, loan.amount + given)
         return given
 
     def own_free(self) -> int:
         """Of the own part alone: what is borrowed is not lent on."""
         return max(0, min(self.own - self.lent_sum, self.free()))
 
-    def give_back(self, keep: int) -> None:
-        """All that is free over `keep`, of what is held of others."""
+    def give_back(self, keep: int, only: int = -1) -> None:
+        """All that is free over `keep`, of what is held of others, or of `only`."""
         spare = self.free() - keep
         for other, loan in self.held.items() if spare > 0 and self.held_sum else ():
-            less = min(loan.amount, max(0, spare))
+            less = min(loan.amount, max(0, spare)) if only in (-1, other) else 0
             if less:
-                loan.amount -= less
-                loan.open = True
-                self.telling.add(other)
-                self.held_sum -= less
+                self.let_go(other, loan, less)
                 spare -= less
-                self.dirty = True
+
+    def let_go(self, other: int, loan: Loan, less: int) -> None:
+        loan.amount -= less
+        loan.open = True
+        self.telling.add(other)
+        self.held_sum -= less
+        self.dirty = True
+
+    # loans that end by themselves
+
+    def lapse(self, other: int) -> int:
+        """What is held of another may be used no more. How much that was."""
+        loan = self.held.get(other)
+        amount = loan.amount if loan else 0
+        if loan and amount:
+            self.let_go(other, loan, amount)
+        return amount
+
+    def take_back(self, other: int) -> int:
+        """What was lent to another has lapsed there by now. How much that was."""
+        loan = self.lent.pop(other, None)
+        if loan is None:
+            return 0
+        self.lent_sum -= loan.amount
+        self.dirty = True
+        return loan.amount
+
+    def settled(self, other: int, listed: bool) -> None:
+        """Drops loans that both sides know to be nothing. `listed`: the other's words, which leave out
+        nothing that stands between the two, named this limit."""
+        loan = self.lent.get(other)
+        if loan and not loan.amount and (not loan.open or not loan.seq):
+            del self.lent[other]
+        loan = self.held.get(other)
+        if loan and not loan.amount and not listed:
+            del self.held[other]
+
+    def idle(self) -> bool:
+        """Nothing would be lost with it."""
+        return not (self.used or self.need or self.lent or self.held)
--- /dev/null
+++ b/lemonhall/limits/plan.py
@@ -0,0 +1,159 @@
+"""What the settings say of limits that hold for the whole fleet, and the bounds that follow from it. Pure.
+
+Times in ms, rates in kB a second. Every bound is computed from the settings: the period of words, the number
+of fronts, the longest deadline of a class.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from functools import cached_property
+from hashlib import blake2b
+from typing import Any, Protocol
+
+from lemonhall import interface as i
+
+PERIOD_MOST_MS = 500.0
+LEASE_PERIODS = 16  # three tries to renew with each of as many lenders as may be held from
+DRIFT = 0.001  # two clocks that do not go back differ by no more than this part of what has passed
+FANOUT = 12  # fronts that are spoken to in a period, at most, but for answers
+TRIES = 3  # to renew a loan within its lease
+LENDERS_MOST = FANOUT * LEASE_PERIODS // TRIES
+PAIR_MOST = 20  # loans from one front to another, so that one datagram names them all
+MILLI = 1000  # units of a set-up a second
+STALE_PERIODS = 10  # a counter older than that is shown as stale
+
+
+class Hold(StrEnum):
+    EXACT = "exact"
+    PACED = "paced"
+    SOFT = "soft"
+
+
+class Unit(StrEnum):
+    SESSIONS = "sessions"
+    RATE = "rate"  # kB a second
+    SET_UPS = "set-ups"  # thousandths of one a second
+
+
+@dataclass(frozen=True)
+class Limit:
+    """`amount` in units; `partner`, `cls`, `hall`: -1 means any. `each_title`: so much of every title.
+
+    `longest_ms`: what stands on lent room may outlast the loan for so long; 0: it is ended with it.
+    `rise`: units a second that one front may add, of a soft limit.
+    """
+
+    name: str
+    hold: Hold
+    unit: Unit
+    amount: int
+    partner: int = -1
+    cls: int = -1
+    hall: int = -1
+    each_title: bool = False
+    burst: float = 0.0
+    rise: float = 0.0
+    longest_ms: float = 0.0
+
+    @cached_property
+    def ident(self) -> int:
+        return zlib.crc32(self.name.encode())
+
+    def covers(self, partner: int, cls: int, hall: int) -> bool:
+        pairs = ((self.partner, partner), (self.cls, cls), (self.hall, hall))
+        return all(mine in (-1, theirs) for mine, theirs in pairs)
+
+
+class Terms(Protocol):
+    """What is read of the terms of the service."""
+
+    @property
+    def fleet_limits(self) -> Sequence[Any]: ...
+    @property
+    def classes(self) -> tuple[i.SessionClass, ...]: ...
+    @property
+    def ladder_kb(self) -> tuple[float, ...]: ...
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Limits stand in the order of their names, which is the order in which a session takes its room."""
+
+    limits: tuple[Limit, ...]
+    classes: tuple[i.SessionClass, ...]
+    ladder_kb: tuple[float, ...]
+    period_ms: float
+
+    @classmethod
+    def of(cls, terms: Terms, period_ms: float) -> Plan:
+        made = tuple(
+            Limit(
+                t.name,
+                Hold(t.hold),
+                Unit(t.unit),
+                t.amount,
+                t.partner,
+                t.cls,
+                t.hall,
+                t.each_title,
+                t.burst,
+                t.rise,
+                t.longest_ms,
+            )
+            for t in sorted(terms.fleet_limits, key=lambda t: t.name)
+        )
+        return cls(made, terms.classes, terms.ladder_kb, min(PERIOD_MOST_MS, period_ms))
+
+    # bounds
+
+    @property
+    def lease_ms(self) -> float:
+        """New sessions may be set up on lent room for so long after the loan was last asked for."""
+        return LEASE_PERIODS * self.period_ms
+
+    @cached_property
+    def deadline_ms(self) -> float:
+        """A set-up that was cleared leaves within the deadline of its class, or not at all."""
+        return max((c.deadline_ms for c in self.classes), default=0.0)
+
+    def usable_ms(self) -> float:
+        """By the borrower's clock, from when it asked."""
+        return self.lease_ms * (1 - DRIFT)
+
+    def stands_ms(self, limit: Limit) -> float:
+        """By the borrower's clock, from when it asked: then what stands on the loan has been ended."""
+        return (self.lease_ms + limit.longest_ms) * (1 - DRIFT)
+
+    def back_ms(self, limit: Limit) -> float:
+        """By the lender's clock, from when it heard the question: then nothing stands on the loan."""
+        return (self.lease_ms + limit.longest_ms) * (1 + DRIFT) + self.deadline_ms
+
+    @property
+    def open_ms(self) -> float:
+        """After a start that remembers nothing: every loan of the life before is over."""
+        return max((self.back_ms(limit) for limit in self.limits), default=0.0)
+
+    def paced_most(self, limit: Limit, span_ms: float) -> float:
+        """Of a paced limit: begun within any span, by the whole fleet."""
+        return limit.amount / MILLI * span_ms / 1000 + limit.burst
+
+
+def title_digest(title: str) -> int:
+    return int.from_bytes(blake2b(title.encode(), digest_size=8).digest(), "big") or 1
+
+
+def drawn(limit: Limit, title: int, front: int) -> int:
+    """By rendezvous: who has one unit more, where a limit cannot be cut into equal parts. The same at every
+    front, another order for every title."""
+    data = limit.ident.to_bytes(4, "big") + title.to_bytes(8, "big") + front.to_bytes(4, "big")
+    return int.from_bytes(blake2b(data, digest_size=8).digest(), "big")
+
+
+def owners(limit: Limit, title: int, amount: int, fronts: Sequence[int]) -> list[int]:
+    """Of these fronts those that own one unit more than the others, by their draw."""
+    rest = amount % len(fronts)
+    return sorted(fronts, key=lambda n: drawn(limit, title, n))[:rest] if rest else []
--- a/tests/halls/test_machine.py
+++ b/tests/halls/test_machine.py
@@ -12,8 +12,8 @@
 from lemonhall import decide
 from lemonhall import interface as i
 from lemonhall.halls import Halls, Intake, Order, Plan, Ruling, State, Tier
-from lemonhall.halls.parts import own_part
 from lemonhall.interface import Outcome
+from lemonhall.limits.parts import own_part
 from tests.halls.worlds import PAID, PLAN, SAFE, STAYS, fleet
 
 NOTICE = PLAN.spilling.notice_ms
--- a/tests/halls/test_return.py
+++ b/tests/halls/test_return.py
@@ -12,7 +12,7 @@
 from lemonhall import decide
 from lemonhall.config.day import read_day
 from lemonhall.halls import Sight
-from lemonhall.halls.parts import Parts
+from lemonhall.limits.parts import Parts
 from lemonhall.model.played.world import Played, play
 
 DAYS = Path(__file__).parents[2] / "examples" / "days"
--- a/tests/halls/test_parts.py
+++ b/tests/limits/test_parts.py
@@ -12,8 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from lemonhall.halls import Halls, Plan, Spilling, Tier
-from lemonhall.halls.parts import Loan, Parts, own_part
-from lemonhall.halls.plan import MILLION
+from lemonhall.limits.parts import MILLION, Loan, Parts, own_part
 from tests.halls.worlds import PLAN, server
 
 FRONTS = 3
@@ -171,18 +170,18 @@
     loan = self.lent.setdefault(other, Loan())
     self.unheard.discard(other)
     if amount < loan.amount:
-        self.set_lent(other, loan, loan.seq + 1, amount)
+        self.set_lent(other, loan, loan.seq, amount)
 
 
 def not_gone(self: Parts, other: int, asked: int) -> int:
     given = min(asked, self.own_free() // 2)
     loan = self.lent.setdefault(other, Loan())
-    self.set_lent(other, loan, loan.seq + 1, given)
+    self.set_lent(other, loan, loan.seq, given)
     return given
 
 
-def trusting(self: Parts, number: int, fronts: int, remembers: bool) -> None:
-    INIT(self, number, fronts, True)
+def trusting(self: Parts, own: int, unheard: set[int], numbers: list[int] | None = None) -> None:
+    INIT(self, own, set(), numbers)
 
 
 INIT = Parts.__init__
