--- a/lemonhall/audit/rules.py
+++ b/lemonhall/audit/rules.py
@@ -318,6 +318,7 @@
     trace: Trace | None = None  # what it was made of
     began_ms: float = 0.0  # of the trace's clock: when viewers began to come
     halls: dict[str, float] = field(default_factory=dict)  # what spilled, where halls may (audit/halls.py)
+    limits: dict[str, float] = field(default_factory=dict)  # of the fleet, where there are (audit/limits.py)
     returned: dict[str, float] = field(default_factory=dict)  # after fronts were killed (audit/returns.py)
 
     @property
@@ -333,6 +334,7 @@
             "failed": self.failed,
             **counts,
             **self.halls,
+            **self.limits,
             **self.returned,
             "rules_broken": self.rules_broken,
             "service": round(self.service, 4),
--- a/lemonhall/cli/config.py
+++ b/lemonhall/cli/config.py
@@ -18,7 +18,7 @@
 from lemonhall.config.meaning import diff as differences
 from lemonhall.config.meaning import key_of, label, said
 from lemonhall.config.schema import SETTINGS, Spec
-from lemonhall.config.settings import read_tree
+from lemonhall.config.settings import bounds_of, read_tree
 from lemonhall.problem import BadInput
 
 FILE = click.Path(path_type=Path)
@@ -49,9 +49,10 @@
 def check(files: tuple[Path, ...], as_json: bool) -> None:
     """Say all that is wrong in FILES, each with what it includes; exit 2 if anything is."""
     problems = []
+    bounds = []
     for path in files:
         try:
-            tree_of(path)
+            bounds += bounds_of(tree_of(path)[1])
         except BadInput as error:
             problems += error.problems
     for problem in problems:
@@ -60,6 +61,8 @@
         click.echo(json.dumps({"files": len(files), "problems": [asdict(p) for p in problems]}))
     elif not problems:
         click.echo(f"{len(files)} fine")
+        for line in bounds:
+            click.echo(line)
     sys.exit(2 if problems else 0)
 
 
--- a/lemonhall/cli/day.py
+++ b/lemonhall/cli/day.py
@@ -34,6 +34,14 @@
             f"of {100 * h['spilled_allowed']:.3g}% allowed, {h['returned_pushed_over']:g} pushed over "
             f"on return, recovered in {h['recovered_s']:g} s"
         )
+    if report.limits:
+        m = report.limits
+        words = f", words {m['limit_stale_most_s']:g} s old of {m['limit_stale_bound_s']:g} s"
+        stale = words if m["limit_stale_bound_s"] > 0 else ""
+        click.echo(
+            f"  limits  over by {m['limit_over_most']:g}, begun {m['limit_over_bound']:.3g} of what may, "
+            f"used {m['limit_used_share']:.3g} of what could be{stale}"
+        )
     if report.returned:
         r = report.returned
         full = f"in {r['full_service_s']:g} s" if r["full_service_s"] >= 0 else "not within the day"
--- a/lemonhall/cli/serve.py
+++ b/lemonhall/cli/serve.py
@@ -78,6 +78,8 @@
     daemon.loop.on_signal(signal.SIGINT, daemon.stop)
     say({"serving": daemon.host})
     run(daemon)
+    if limits := daemon.asks.limits:
+        say(limits.machine.show(limits.now()))
 
 
 def log_format() -> str:
--- a/lemonhall/config/day.py
+++ b/lemonhall/config/day.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 
 from lemonhall.config.check import Typed, top
@@ -31,7 +32,9 @@
 
 @dataclass(frozen=True)
 class Mix:
-    """One stream of requests: arrivals a second over all fronts, session lengths in ms, titles by number."""
+    """One stream of requests: arrivals a second over all fronts, session lengths in ms, titles by number.
+
+    `front`: all come to this one; they come from `since_ms` until `until_ms` of the day."""
 
     cls: int
     tenant: int
@@ -39,6 +42,9 @@
     per_s: float
     titles: int
     length_ms: tuple[float, float]
+    front: str = ""
+    since_ms: float = 0.0
+    until_ms: float = inf
 
 
 @dataclass(frozen=True)
@@ -136,6 +142,9 @@
             m["per-second"],
             m["titles"],
             (m["shortest"], m["longest"]),
+            m["front"],
+            m["since"],
+            m["until"] or inf,
         )
         for m in traffic.all("mix")
     )
--- a/lemonhall/config/rules.py
+++ b/lemonhall/config/rules.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
+from zlib import crc32
 
 from lemonhall.config.check import Typed, top
 from lemonhall.config.dayschema import ENDS, FAULTS, LINK_FAULTS
 from lemonhall.config.routing import BadPattern, compile_pattern
 from lemonhall.config.units import show
+from lemonhall.limits.plan import DRIFT, LEASE_PERIODS, LIMITS_MOST, PERIOD_MOST_MS, back_ms
 from lemonhall.problem import Problem, nearest
 
 Hosts = tuple[str, ...]
@@ -46,6 +48,7 @@
             self.faults,
             self.links,
             self.spills,
+            self.limits,
         ):
             check()
         return self.problems
@@ -220,6 +223,12 @@
         pairs = [(m, "shortest", "longest") for t in self.all("traffic") for m in t.all("mix")]
         pairs += [(t, "pause-least", "pause-most") for t in self.all("traffic")]
         pairs += [(f, "set-up-least", "set-up-most") for f in self.all("fleet")]
+        fronts = [name for f in self.all("front") for name in f.names]
+        for mix in (m for t in self.all("traffic") for m in t.all("mix")):
+            if mix["front"] and mix["front"] not in fronts:
+                self.say(mix, "front", f'"{mix["front"]}" is no front', nearest(mix["front"], fronts))
+            if mix["until"] and mix["until"] <= mix["since"]:
+                self.say(mix, "until", "lies before since", "nobody would come")
         for node, low, high in pairs:
             if node[low] > node[high] + EPS:
                 self.say(node, low, f"{show(node[low], 'time')} is over {high}, {show(node[high], 'time')}")
@@ -296,6 +305,63 @@
         if len(told & {"list", "viewers", "boxes", *boxes}) == 2 or told in ({"list"}, {"viewers"}):
             self.say(node, "", "nothing passes between these two", "one end is a front, or a hall")
 
+    def limits(self) -> None:
+        """Limits that say nothing, two things, or promise what the fronts' words cannot keep."""
+        idents: dict[int, str] = {}
+        for n, limit in enumerate(self.all("limit")):
+            hold, said = limit["hold"], [f for f in ("sessions", "rate", "set-ups") if limit[f]]
+            if len(said) != 1:
+                what = f"says {' and '.join(said) or 'no amount'}"
+                self.say(limit, said[1] if said else "", what, "one of sessions, rate or set-ups")
+                continue
+            fits = {"exact": ("sessions", "rate"), "paced": ("set-ups",), "soft": ("sessions",)}[hold]
+            if said[0] not in fits:
+                other = "paced" if said[0] == "set-ups" else "exact"
+                what = f'hold="{hold}" is for {" or ".join(fits)}'
+                self.say(limit, "hold", what, f'write hold="{other}"')
+            if limit["each-title"] and (hold != "exact" or said[0] != "sessions"):
+                self.say(limit, "each-title", "is for exact numbers of sessions", "take it out")
+            if hold == "soft" and not limit["rise"]:
+                self.say(limit, "rise", "is missing", "how fast one front may add bounds how far off it is")
+            if hold == "paced" and 0 < limit["burst"] < 1:
+                self.say(limit, "burst", "no set-up would ever fit", "write burst=1 or more")
+            if n >= LIMITS_MOST:
+                what = f"the {n + 1}th limit: one datagram names {LIMITS_MOST}"
+                self.say(limit, "", what, "take one out")
+            made = crc32(limit.name.encode())
+            if idents.setdefault(made, limit.name) != limit.name:
+                self.say(limit, "", f'has the digest of "{idents[made]}"', "give it another name")
+            floors = [
+                self.rungs[c["floor"]]["rate"] * c["scale"]
+                for c in self.all("class")
+                if c["floor"] < len(self.rungs) and limit["class"] in ("", c.name)
+            ]
+            if limit["rate"] and floors and min(floors) > limit["rate"]:
+                self.say(limit, "rate", f"no session fits: the least takes {show(min(floors), 'rate')}")
+            self.limit_back(limit)
+        for front in self.all("front") if self.all("limit") else ():
+            if front.values.get("fronts", 1) > 1 and not front.one("members"):
+                what = "fronts hold limits together by their members' words, and there are no members"
+                self.say(front, "", what, "write members, or fronts=1")
+
+    def limit_back(self, limit: Typed) -> None:
+        """Whether room comes back in the time that the file asks for, by the periods of members."""
+        deadline = max((c["deadline"] for c in self.all("class")), default=0.0)
+        periods = [m["period"] for f in self.all("front") if "index" in f.values and (m := f.one("members"))]
+        keeps = limit["on-silence"] == "keep" and limit["hold"] == "exact"
+        longest = limit["longest"] if keeps else 0.0
+        for period in periods if limit["back"] else ():
+            least = back_ms(min(PERIOD_MOST_MS, period), longest, deadline)
+            if least <= limit["back"]:
+                continue
+            lease = LEASE_PERIODS * min(PERIOD_MOST_MS, period)
+            left = limit["back"] - deadline - lease * (1 + DRIFT)
+            what = f"room of a front that is gone is back after {show(least, 'time')}"
+            fix = f"write longest={show(max(0.0, left / (1 + DRIFT)), 'time')} or less"
+            if left <= 0:
+                fix = "a shorter period of the members, or a later back"
+            self.say(limit, "back", what, fix)
+
     def spills(self) -> None:
         """Tiers that lead nowhere, or ask for more than a hall has."""
         into: dict[str, float] = {}
--- a/lemonhall/config/schema.py
+++ b/lemonhall/config/schema.py
@@ -10,6 +10,7 @@
 
 NEEDED = object()  # a field without a default
 REPEATS = ("safe", "keyed", "paid")
+HOLDS = ("exact", "paced", "soft")
 
 
 @dataclass(frozen=True)
@@ -176,6 +177,34 @@
         fields=(Field("quota", "number", "sessions a second over all fronts; 0: not told", 0.0, 0),),
         key=True,
     ),
+    Spec(
+        "limit",
+        "what all fronts together hold, or begin, at most",
+        "any",
+        args=(Field("name", "text", "its name"),),
+        fields=(
+            Field("partner", "text", "of this partner's sessions; of all, if left out", "", of="partner"),
+            Field("class", "text", "of this class; of all, if left out", "", of="class"),
+            Field("hall", "text", "of viewers of this hall's fronts; of all, if left out", "", of="hall"),
+            Field("sessions", "int", "sessions that stand; 0: not these", 0, 0, 100_000_000),
+            rate("rate", "what they may take together; 0: not this", 0.0, 0),
+            Field("set-ups", "number", "set-ups a second; 0: not these", 0.0, 0),
+            Field("hold", "text", "how it holds while links and fronts fail", "exact", one_of=HOLDS),
+            Field("each-title", "flag", "so many of each title", False),
+            Field("burst", "number", "set-ups at once, of a paced one; 0: those of a second", 0.0, 0),
+            Field("rise", "number", "sessions a second that one front may add, of a soft one", 0.0, 0),
+            Field(
+                "on-silence",
+                "text",
+                "sessions on lent room, where their front hears nothing of its lender",
+                "keep",
+                one_of=("keep", "end"),
+            ),
+            time("longest", "and are kept so long at most", 600_000.0, 0),
+            time("back", "room of a front that is gone must be lent again within; 0: any time", 0.0),
+        ),
+        key=True,
+    ),
     Spec(
         "pool",
         "servers that routes may prefer: those of these halls, kinds and racks",
--- a/lemonhall/config/settings.py
+++ b/lemonhall/config/settings.py
@@ -12,6 +12,7 @@
 from lemonhall.config.load import Loader, Tree, set_field
 from lemonhall.config.routing import Condition, Match, Pool, PoolServer, Route, Step
 from lemonhall.config.schema import SETTINGS, TERMS, Spec
+from lemonhall.limits.plan import PERIOD_MOST_MS, Plan
 from lemonhall.problem import BadInput
 
 __all__ = ["BadInput"]
@@ -38,6 +39,24 @@
     per_s: float
 
 
+@dataclass(frozen=True)
+class FleetLimit:
+    """What all fronts together hold or begin at most. `amount`: sessions, kB a second, or thousandths of a
+    set-up a second, by `unit`. `partner`, `cls`, `hall`: -1: any. Times in ms."""
+
+    name: str
+    hold: str
+    unit: str
+    amount: int
+    partner: int = -1
+    cls: int = -1
+    hall: int = -1
+    each_title: bool = False
+    burst: float = 0.0
+    rise: float = 0.0
+    longest_ms: float = 0.0
+
+
 @dataclass(frozen=True)
 class SpillTimes:
     notice_ms: float = 3000.0
@@ -92,6 +111,7 @@
     takes_in: tuple[TakesIn, ...] = ()
     spilling: SpillTimes = SpillTimes()
     no_spill: frozenset[int] = frozenset()  # classes whose sessions stay in their hall
+    fleet_limits: tuple[FleetLimit, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -395,6 +415,44 @@
             *(value("spilling", name) for name in ("notice", "trial", "ramp", "slowest", "forget"))
         ),
         no_spill=frozenset(n for n, c in enumerate(top(typed, "class")) if not c["spills"]),
+        fleet_limits=tuple(make_limit(t, names) for t in top(typed, "limit")),
+    )
+
+
+def bounds_of(typed: list[Typed]) -> list[str]:
+    """What each limit of the whole fleet is held to, a line each."""
+    limits = list(top(typed, "limit"))
+    if not limits:
+        return []
+    terms = make_terms(typed)
+    members = [m for f in top(typed, "front") if "index" in f.values and (m := f.one("members"))]
+    plan = Plan.of(terms, members[0]["period"] if members else PERIOD_MOST_MS)
+    return [f'limit "{m.name}": {plan.bound(m)}' for m in plan.limits]
+
+
+def make_limit(node: Typed, names: dict[str, list[str]]) -> FleetLimit:
+    def place(kind: str) -> int:
+        return names[kind].index(node[kind]) if node[kind] else -1
+
+    amounts = {
+        "sessions": node["sessions"],
+        "rate": int(node["rate"]),
+        "set-ups": round(1000 * node["set-ups"]),
+    }
+    unit = next((name for name, amount in amounts.items() if amount), "sessions")
+    keeps = node["on-silence"] == "keep" and node["hold"] == "exact"
+    return FleetLimit(
+        node.name,
+        node["hold"],
+        unit,
+        amounts[unit],
+        place("partner"),
+        place("class"),
+        place("hall"),
+        node["each-title"],
+        node["burst"] or max(1.0, node["set-ups"]),
+        node["rise"],
+        node["longest"] if keeps else 0.0,
     )
 
 
@@ -518,7 +576,7 @@
     "drain_to",
     "workers",
 )
-LIVE_TERMS = ("routes", "normal_paths")
+LIVE_TERMS = ("routes", "normal_paths", "fleet_limits")
 
 
 def fixed_changes(old: FrontSettings, new: FrontSettings) -> list[str]:
--- a/lemonhall/day/runner.py
+++ b/lemonhall/day/runner.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import fcntl
+import json
 import os
 import secrets
 import shutil
@@ -20,6 +21,7 @@
 
 from lemonhall.audit import Report, audit, read_taps
 from lemonhall.audit.halls import of_halls
+from lemonhall.audit.limits import of_limits
 from lemonhall.audit.returns import of_returns
 from lemonhall.audit.trace import Reader
 from lemonhall.config.day import Day, FaultSpec, read_day
@@ -77,6 +79,7 @@
         keep_state: bool = True,
     ) -> None:
         self.keep_state = keep_state and day.keep
+        self.limits_told: list[dict[str, Any]] = []  # of fronts that stopped in order
         self.relieved: dict[str, int] = {}  # fronts whose old process has yet to end, how many
         self.coming: set[str] = set()  # fronts whose successor has not said that it serves
         self.day, self.day_path, self.folder, self.seed, self.module = day, day_path, folder, seed, module
@@ -174,6 +177,8 @@
             self.aim(name, what["serving"])
             at = self.through["doors"]["viewers"][name] if self.through else what["serving"]
             self.children["viewers"].tell(do="fronts", fronts={name: at})
+        elif "limits" in what:
+            self.limits_told.append(what)
         elif "full" in what:
             self.tap.write("day", 0, "front-full", front=name, after=what["full"])
         elif "hooks" in what:
@@ -534,6 +539,11 @@
         report.seconds = time.monotonic() - began
         spilled = of_halls(report.trace, self.day) if report.trace else None
         report.halls = spilled.to_json() if spilled else {}
+        limits = of_limits(report.trace, self.day, self.limits_told) if report.trace else None
+        report.limits = limits.to_json() if limits else {}
+        if limits:  # what the fronts said at their end, and what was seen of each
+            told = {"fronts": self.limits_told, "seen": limits.by_limit}
+            (self.folder / "limits.json").write_text(json.dumps(told, indent=1), encoding="utf-8")
         returned = of_returns(report.trace, self.day.terms) if report.trace else None
         report.returned = returned.to_json() if returned else {}
         return report
--- a/lemonhall/front/deciding/asks.py
+++ b/lemonhall/front/deciding/asks.py
@@ -24,6 +24,7 @@
 from lemonhall.front.deciding.claims import Claims
 from lemonhall.front.deciding.halls import HallsDesk
 from lemonhall.front.deciding.hooks import Hooks
+from lemonhall.front.deciding.limits import LimitsDesk
 from lemonhall.front.deciding.pooling import Pools
 from lemonhall.front.deciding.returning import ReturnDesk
 from lemonhall.front.keeping.keeper import Keeper
@@ -41,6 +42,7 @@
     Cleared,
     Ended,
     Failed,
+    Finish,
     Gone,
     Lapsed,
     Message,
@@ -124,6 +126,7 @@
         self.keeper: Keeper | None = None
         self.claims = Claims(loop, None, None)
         self.halls: HallsDesk | None = None
+        self.limits: LimitsDesk | None = None
         self.returning: ReturnDesk | None = None
         self.waiting: dict[int, Verdict] = {}  # held back by the return: what was said of their claims
         self.pools = Pools(settings, self.held_at, self.counts, Random(random.random()))
@@ -226,6 +229,8 @@
             ask.advice = merge(i.Advice(prefer=prefer), ruling.advice)
         if self.halls:
             ask.advice = merge(self.halls.ask(ask.number, ask.cls, said.first_cell, said.cells), ask.advice)
+        if self.limits:
+            self.take_room(ask, self.limits)
         if verdict is Verdict.UNKNOWN:
             ask.advice = merge(ask.advice, i.Advice(refuse=True))
         if pause_ms is not None:
@@ -234,6 +239,18 @@
         ask.told = replace(told, waited_ms=(self.loop.now() - ask.came) * 1000)
         self.bridge.tell(ask.told)
 
+    def take_room(self, ask: Ask, limits: LimitsDesk) -> None:
+        """Under the limits of the whole fleet, or it is wished away with a pause."""
+        said = ask.said
+        moved = said.session if said.moved else ""
+        ruling = limits.ask(ask.number, said.tenant, ask.cls, str(said.title), said.top, moved)
+        advice = i.Advice(cap=ruling.cap)
+        if ruling.refused:
+            self.counts["over_limit"] += 1
+            ask.reason = f"limit {ruling.refused}"
+            advice = i.Advice(refuse=True, pause_ms=max(1.0, ruling.pause_ms))
+        ask.advice = merge(ask.advice, advice)
+
     def new_session(self, ask: Ask, left_ms: float, ran: bool) -> i.NewSession:
         said = ask.said
         return i.NewSession(
@@ -304,6 +321,10 @@
             return
         outcome = Outcome(word.outcome)
         self.settle(out, word.left and outcome not in NEVER_RAN)
+        if self.limits and word.moving and word.ask in self.open:
+            self.limits.park(word.ask, self.open[word.ask].said.session)
+        else:
+            self.give_room_back(word.ask)
         if self.halls:
             self.halls.seen(word.server, outcome)
         ask = self.open.get(word.ask)
@@ -372,6 +393,8 @@
         self.counts["carried"] += 1
         if self.halls:
             self.halls.carried(word.ask, ask.cls, word.rung, word.server)
+        if self.limits:
+            self.limits.carried(word.ask, said.tenant, ask.cls, str(said.title), word.rung)
         self.bridge.tell(i.HandedOver(ask.told, word.server))
         self.bridge.tell(i.Note(word.ask, 0, word.server, i.NoteKind.RUNG, float(word.rung)))
 
@@ -387,6 +410,7 @@
                 self.returning.drop(number)
             if self.halls:
                 self.halls.over(number)
+            self.give_room_back(number)
             if ask.hold and self.keeper:
                 self.keeper.ledger.over(ask.hold)
             if ask.answered and self.keeper:
@@ -422,6 +446,24 @@
             self.returning.drop(ask.number)
         if self.halls:
             self.halls.over(ask.number)
+        self.give_room_back(ask.number)
+
+    def give_room_back(self, number: int) -> None:
+        """Once nothing of it is asked for, out, or plays: what a limit counts stands at a server."""
+        if self.limits and number not in self.open:
+            attempts = range(self.settings.terms.max_attempts)
+            if not any((number, n) in self.book.out for n in attempts):
+                self.limits.over(number)
+
+    def end_session(self, number: int, why: str) -> None:
+        """The room that it stands on is not this front's any more."""
+        ask = self.open.get(number)
+        if ask:
+            self.counts["ended_by_limit"] += 1
+            if ask.answered:
+                ask.line.send(Finish(number, why))
+            elif ask.out:
+                ask.line.send(Cancel(number, ask.out.number))
 
     def advise(self, ask: Ask, advice: i.Advice) -> None:
         """Tells the module of other wishes for a session, if they are any."""
@@ -455,6 +497,7 @@
         moot = number >= self.settings.terms.max_attempts or left_s <= 0 or ask.out is not None
         moot |= ask.answered or address is None
         moot |= bool(ask.said.claim) and ask.hold is None  # nobody has said that it may be set up
+        moot = moot or bool(self.limits and not self.limits.may(ask.number))
         record = None
         if not moot and ask.hold and self.keeper:
             cleared = partial(self.cleared, ask.number, number)
--- /dev/null
+++ b/lemonhall/front/deciding/limits.py
@@ -0,0 +1,139 @@
+"""Limits of the whole fleet at a front: fed with what its asks and members tell, its words sent."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import structlog
+
+from lemonhall.limits import Limits, Out, Plan, Ruling
+from lemonhall.limits.escrow import TICKS
+from lemonhall.loop import Loop, Timer
+from lemonhall.members.machine import View
+from lemonhall.members.members_pb2 import LIMITS, Message
+
+log = structlog.get_logger("lemonhall.front")
+RELIEVED = Ruling("changing guard", 200.0)  # the successor holds the front's parts
+
+
+def clock_ms() -> float:
+    """Goes on while the machine sleeps, and is the same in all its processes: what a lease is counted by."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
+
+
+class Carrier(Protocol):
+    """The members' socket."""
+
+    number: int
+
+    def tell_front(self, number: int, message: Any) -> bool: ...
+
+
+class LimitsDesk:
+    """`said`: told of what a limit refuses or ends, for the capture. `on_end`: of a session that must end."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        machine: Limits,
+        carrier: Carrier | None,
+        clock: Callable[[], float] = clock_ms,
+        said: Callable[[str, int], object] = lambda words, ask: None,
+    ) -> None:
+        self.loop, self.machine, self.carrier, self.now, self.said = loop, machine, carrier, clock, said
+        self.timer: Timer | None = None
+        self.stopped = True
+        self.on_end: Callable[[int, str], object] = lambda ask, why: None
+
+    def start(self) -> None:
+        self.stopped = False
+        self.timer = self.loop.call_later(0.0, self.tick)
+
+    def stop(self) -> None:
+        """Another process goes by this front's parts now, or none: nothing is said, or let in."""
+        self.stopped = True
+        if self.timer:
+            self.timer.cancel()
+
+    def view(self, view: View, twin: bool) -> None:
+        escrow = self.machine.escrow
+        escrow.members = view.members
+        if escrow.twin != twin:
+            escrow.twin = twin
+            escrow.agree()
+
+    def settle(self, plan: Plan) -> None:
+        self.machine.settle(plan)
+
+    # asks
+
+    def ask(self, ask: int, partner: int, cls: int, title: str, top: int, moved: str) -> Ruling:
+        """`moved`: the session, if it has left a server and asks again."""
+        if moved and self.machine.unpark(self.now(), ask, moved):
+            return Ruling()
+        if self.stopped:
+            return RELIEVED
+        ruling = self.machine.ask(self.now(), ask, partner, cls, title, top)
+        if ruling.refused:
+            self.said(f"limit {ruling.refused}: no room", ask)
+        self.obey()
+        return ruling
+
+    def may(self, ask: int) -> bool:
+        fine = self.machine.may(self.now(), ask)
+        self.obey()
+        return fine
+
+    def over(self, ask: int) -> None:
+        self.machine.over(self.now(), ask)
+
+    def park(self, ask: int, session: str) -> None:
+        self.machine.park(self.now(), ask, session)
+
+    def carried(self, ask: int, partner: int, cls: int, title: str, rung: int) -> None:
+        self.machine.carried(self.now(), ask, partner, cls, title, rung)
+
+    def obey(self) -> None:
+        ends, self.machine.ends = self.machine.ends, []
+        for ask in ends:
+            self.said("its room was lent, and the loan is over", ask)
+            self.on_end(ask, "loan of room over")
+
+    # words
+
+    def tick(self) -> None:
+        self.leave(self.machine.tick(self.now()))
+        self.obey()
+        self.timer = self.loop.call_later(self.machine.plan.period_ms / TICKS / 1000, self.tick)
+
+    def heard(self, message: Any) -> None:
+        if self.stopped:
+            return
+        self.machine.hear(self.now(), message.sender, message.limits)
+        if self.machine.escrow.answer or self.machine.escrow.recalled:
+            self.leave(self.machine.tick(self.now()))
+        self.obey()
+
+    def leave(self, words: list[Out]) -> None:
+        if self.carrier is None or self.stopped:
+            return
+        for out in words:
+            self.carrier.tell_front(out.to, Message(kind=LIMITS, sender=self.carrier.number, limits=out.data))
+
+    # operators
+
+    def page(self) -> tuple[int, str, bytes]:
+        return 200, "application/json", json.dumps(self.machine.show(self.now())).encode() + b"\n"
+
+    def forget(self, front: str) -> tuple[int, str, bytes]:
+        """An operator's word that a front is gone for good; it goes to all fronts."""
+        if not front.isdecimal():
+            return 400, "text/plain", b"fronts are named by their numbers\n"
+        why = self.machine.escrow.forget(self.now(), int(front))
+        if why:
+            return 409, "text/plain", why.encode() + b"\n"
+        log.warning("front forgotten", front=int(front))
+        return self.page()
--- a/lemonhall/front/deciding/membership.py
+++ b/lemonhall/front/deciding/membership.py
@@ -19,7 +19,7 @@
 from lemonhall.members import BadSeal, Config, Keys, Machine, Send
 from lemonhall.members.machine import State as MemberState
 from lemonhall.members.machine import View
-from lemonhall.members.members_pb2 import ASK_CLAIM, CLAIM, HALLS, RECOVERY, Message
+from lemonhall.members.members_pb2 import ASK_CLAIM, CLAIM, HALLS, LIMITS, RECOVERY, Message
 from lemonhall.members.share import Share
 from lemonhall.problem import BadInput, Problem
 
@@ -100,6 +100,7 @@
         self.timer: Timer | None = None
         self.on_claim: Callable[[Any], object] = lambda message: None
         self.on_halls: Callable[[Any], object] = lambda message: None
+        self.on_limits: Callable[[Any], object] = lambda message: None
         self.on_return: Callable[[Any], object] = lambda message: None
         self.on_share: Callable[[int], object] = lambda fronts: None  # that shares go by
         self.deaf_to: set[int] = set()  # for tests: ports that nothing is heard from
@@ -147,6 +148,7 @@
             CLAIM: self.on_claim,
             HALLS: self.on_halls,
             RECOVERY: self.on_return,
+            LIMITS: self.on_limits,
         }
         if message.kind not in about or message.sender == self.number:
             return False
--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -9,6 +9,7 @@
 import socket
 import time
 import traceback
+from base64 import b64decode
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -26,6 +27,7 @@
 from lemonhall.front.deciding.claims import Claims
 from lemonhall.front.deciding.halls import HallsDesk
 from lemonhall.front.deciding.hooks import Hooks
+from lemonhall.front.deciding.limits import LimitsDesk, clock_ms
 from lemonhall.front.deciding.listclient import ListClient
 from lemonhall.front.deciding.membership import Membership, read_keys
 from lemonhall.front.deciding.peers import Peers
@@ -40,6 +42,9 @@
 from lemonhall.front.viewers.worker import STOP_S, Worker
 from lemonhall.halls import Halls, Plan
 from lemonhall.interface import Outcome
+from lemonhall.limits import Limits
+from lemonhall.limits import Plan as LimitsPlan
+from lemonhall.limits.plan import PERIOD_MOST_MS
 from lemonhall.loop import Loop, listen
 from lemonhall.loop.core import READ
 from lemonhall.loop.stream import accept_on
@@ -220,6 +225,10 @@
         if self.capture:
             for change in changes:
                 self.capture.word(self.now_ms(), "settings", change.what)
+        if self.asks.limits:
+            self.asks.limits.settle(self.limits_plan())
+        elif new.terms.fleet_limits:
+            self.open_limits()
         self.hooks.resettle(new)
 
     def keep_settings(self, problems: list[str]) -> None:
@@ -281,6 +290,8 @@
             self.membership.on_claim = self.asks.claims.heard
         if s.terms.spills:
             self.open_halls()
+        if s.terms.fleet_limits:
+            self.open_limits()
         if s.record:
             self.asks.recorder = Recorder(Path(s.record), s, self.loop.now() * 1000)
         if self.keeper:
@@ -387,8 +398,34 @@
             halls.view(self.membership.machine.view())
         halls.start()
 
+    def limits_plan(self) -> LimitsPlan:
+        s = self.settings
+        return LimitsPlan.of(s.terms, s.members.period_ms if s.members else PERIOD_MOST_MS)
+
+    def open_limits(self) -> None:
+        """The machine of the fleet's limits: as the process that is relieved had it, or as one that remembers
+        nothing. Where workers outlive a decider, sessions of the life before may stand."""
+        s, now = self.settings, clock_ms()
+        random = Random(SystemRandom().getrandbits(64))
+        life, fresh = int(self.wall() * 1000), s.workers == 0
+        machine = Limits(self.limits_plan(), s.index, s.fronts, s.hall, life, random, now, fresh)
+        if self.taken and self.taken.message and (state := self.taken.message.get("limits")):
+            machine.take_over(now, b64decode(state))
+        desk = self.asks.limits = LimitsDesk(self.loop, machine, self.membership, said=self.limit_said)
+        desk.on_end = self.asks.end_session
+        if self.membership:
+            self.membership.on_limits = desk.heard
+            desk.view(self.membership.machine.view(), False)
+        desk.start()
+
+    def limit_said(self, words: str, ask: int) -> None:
+        if self.capture:
+            self.capture.word(self.now_ms(), "limits", words, ask)
+
     def stop_halls(self) -> None:
         """Nothing more is said or written by this process."""
+        if self.asks.limits:
+            self.asks.limits.stop()
         if self.asks.halls:
             self.asks.halls.stop()
         if self.asks.returning:
@@ -449,6 +486,8 @@
 
     def seen(self, view: View) -> None:
         """Another view of who is there."""
+        if self.asks.limits and self.membership:
+            self.asks.limits.view(view, self.membership.machine.conflict)
         if self.asks.halls:
             self.asks.halls.view(view)
         if self.asks.returning:
@@ -478,6 +517,8 @@
             self.membership.resume()
         if self.asks.halls:
             self.asks.halls.start()
+        if self.asks.limits:
+            self.asks.limits.start()
         if self.asks.returning:
             self.asks.returning.start()
         if self.peers:
--- a/lemonhall/front/process/shown.py
+++ b/lemonhall/front/process/shown.py
@@ -70,10 +70,12 @@
             "/members": self.members_page,
             "/capture": self.capture_page,
             "/halls": self.halls_page,
+            "/limits": self.limits_page,
         }
         acts: dict[str, status.Act] = {
             "/halls/hold": lambda hall: self.order_hall(hall, Order.HOLD),
             "/halls/release": lambda hall: self.order_hall(hall, Order.NONE),
+            "/limits/forget": self.forget_front,
         }
         return status.serve(self.front.loop, pages, acts)
 
@@ -120,6 +122,16 @@
             return 404, "text/plain", b"no spill in the settings\n"
         return self.front.asks.halls.order(unquote(hall.removeprefix("hall=")), what)
 
+    def limits_page(self) -> tuple[int, str, bytes]:
+        if self.front.asks.limits is None:
+            return 404, "text/plain", b"no limit in the settings\n"
+        return self.front.asks.limits.page()
+
+    def forget_front(self, query: str) -> tuple[int, str, bytes]:
+        if self.front.asks.limits is None:
+            return 404, "text/plain", b"no limit in the settings\n"
+        return self.front.asks.limits.forget(query.removeprefix("front="))
+
     # counters
 
     def phases(self) -> list[Any]:
@@ -135,6 +147,17 @@
                 full.add_metric([], shown["full_service_s"])
         return [phase, full]
 
+    def limits(self) -> list[Any]:
+        held = GaugeMetricFamily("lemonhall_limit", "Of the fleet's limits here", labels=["limit", "what"])
+        refused = CounterMetricFamily("lemonhall_limit_refused", "Told that it is full", labels=["limit"])
+        if desk := self.front.asks.limits:
+            for told in desk.machine.show(desk.now())["limits"]:
+                refused.add_metric([told["limit"]], told["refused"])
+                for what in ("goes_by", "used", "held", "borrowed", "lent", "needed", "others", "off_most"):
+                    if what in told:
+                        held.add_metric([told["limit"], what], told[what])
+        return [held, refused]
+
     def collect(self) -> list[Any]:
         """The counters in the exposition's terms (prometheus_client asks for them)."""
         happened = CounterMetricFamily("lemonhall_events", "What happened, by name", labels=["event"])
@@ -163,4 +186,4 @@
             for name, value in sorted((self.front.keeper.counts + self.front.asks.claims.counts).items()):
                 happened.add_metric([f"store_{name}"], value)
             now.add_metric(["store_groups"], self.front.keeper.writer.groups)
-        return [happened, now, said, scripts, overruled, *self.phases()]
+        return [happened, now, said, scripts, overruled, *self.phases(), *self.limits()]
--- a/lemonhall/front/viewers/worker.py
+++ b/lemonhall/front/viewers/worker.py
@@ -35,6 +35,7 @@
     Cleared,
     Ended,
     Failed,
+    Finish,
     Gone,
     Lapsed,
     Message,
@@ -118,6 +119,7 @@
             Failed: self.failed,
             Move: self.move,
             Cancel: self.cancel,
+            Finish: self.finish_session,
             Stored: self.stored,
             Redirect: self.redirect,
             Retire: self.retired,
@@ -469,6 +471,14 @@
         if ask and not ask.answered and ask.attempt and ask.attempt.number == m.attempt:
             ask.attempt.end(Outcome.CANCELLED)
 
+    def finish_session(self, m: Finish) -> None:
+        """What plays, or is on its way to another server, ends in order: BYE to the viewer, TEARDOWN."""
+        ask = self.asks.get(m.ask)
+        if ask and ask.session.state in (State.PLAYING, State.MOVING):
+            ask.session.end(m.why)
+            if ask.attempt:
+                ask.attempt.leave()
+
     def redirect(self, m: Redirect) -> None:
         for viewer in list(self.viewers):
             viewer.redirect(m.to)
--- a/lemonhall/limits/escrow.py
+++ b/lemonhall/limits/escrow.py
@@ -369,9 +369,12 @@
         peer = self.peers.setdefault(sender, Peer())
         if words.life < peer.life:
             self.counts["old_life"] += 1
+            self.answer.add(sender)  # its clock was set back: it begins another life when it hears of this
             return
         if words.life > peer.life:
             self.new_life(now, sender, peer, words)
+        if words.to_life > self.life and not self.twin:
+            self.life = words.to_life + 1
         if words.to_life != self.life:
             self.answer.add(sender)  # it does not know us yet, or speaks to who we were
             return
--- a/lemonhall/limits/machine.py
+++ b/lemonhall/limits/machine.py
@@ -18,12 +18,11 @@
 
 from lemonhall import interface as i
 from lemonhall.limits.escrow import ROOMS_MOST, Escrow, Key, Out
-from lemonhall.limits.plan import Hold, Limit, Plan, Unit, title_digest
+from lemonhall.limits.plan import STALE_PERIODS, Hold, Limit, Plan, Unit, title_digest
 from lemonhall.limits.rooms import Bucket, Room
 from lemonhall.limits.soft import Estimate
 
 PARK_PERIODS = 8  # a session that moves has its room kept for so long
-CARRY_PERIODS = 10  # sessions of a process that was relieved are told within
 WIDE_PART = 0.5  # of what is free: a session is let over its floor only for less, and while nobody lacks room
 
 
@@ -72,11 +71,10 @@
         self.hall = hall
         self.escrow = Escrow(plan, number, fronts, life, random, now, fresh)
         self.sessions: dict[int, Charge] = {}
-        self.parked: dict[int, int] = {}  # a session that moves: under which ask
+        self.parked: dict[str, int] = {}  # a session that moves: under which ask
         self.ends: list[int] = []
         self.refused = Counter[str]()
         self.rises: dict[int, Bucket] = {}
-        self.owed_until = inf
         self.oldest_ms = 0.0  # of the words that a soft limit was ever gone by
         self.settle(plan)
 
@@ -102,10 +100,6 @@
             short, self.escrow.short = self.escrow.short, {}
             for key in short.keys() & self.escrow.rooms.keys():
                 self.shed(key, short[key])
-        if now >= self.owed_until:
-            self.owed_until = inf
-            for room in self.escrow.rooms.values():
-                room.owed = 0
 
     def hear(self, now: float, sender: int, data: bytes) -> None:
         self.wake(now)
@@ -120,9 +114,14 @@
         return self.escrow.tick(now)
 
     def take_over(self, now: float, data: bytes) -> None:
-        """Goes on in the place of the process that gave `Escrow.state`. Raises `ValueError`."""
+        """Goes on in the place of the process that gave `Escrow.state`. What stands there counts until
+        `carried_all`. Raises `ValueError`."""
         self.escrow.take_over(now, data)
-        self.owed_until = now + CARRY_PERIODS * self.plan.period_ms
+
+    def carried_all(self) -> None:
+        """The process that was relieved has nothing any more."""
+        for room in self.escrow.rooms.values():
+            room.owed = 0
 
     def limits_of(self, partner: int, cls: int) -> tuple[Limit, ...]:
         found = self.covering.get((partner, cls))
@@ -218,9 +217,11 @@
         counters, rises = self.escrow.soft[limit.ident], self.rises[limit.ident]
         rises.fill(now, limit.rise / 1000, counters.burst())
         amount, told = self.escrow.amounts[limit.ident], self.estimate(now, limit)
-        if told.oldest_ms < inf:
-            self.oldest_ms = max(self.oldest_ms, told.oldest_ms)
-        return rises.free() and self.escrow.soft_used[limit.ident] + 1 + told.charged <= amount
+        used = self.escrow.soft_used[limit.ident] + 1
+        if told.oldest_ms > STALE_PERIODS * self.plan.period_ms:  # too old to go by: its own part, then
+            return rises.free() and used <= amount // self.escrow.share
+        self.oldest_ms = max(self.oldest_ms, told.oldest_ms)
+        return rises.free() and used + told.known + told.off <= amount
 
     def estimate(self, now: float, limit: Limit) -> Estimate:
         e = self.escrow
@@ -258,10 +259,11 @@
         return True
 
     def over(self, now: float, ask: int) -> None:
-        """Nothing of it is out any more."""
-        charge = self.sessions.pop(ask, None)
-        if charge is None:
+        """Nothing of it is out any more. Of one that moves the room waits for it."""
+        charge = self.sessions.get(ask)
+        if charge is None or now < charge.parked_until < inf:
             return
+        del self.sessions[ask]
         for key, units in charge.units.items():
             if key[0] in self.escrow.soft:
                 self.escrow.soft_used[key[0]] -= 1
@@ -273,13 +275,13 @@
                     room.reserve.take(units, charge.premium, -1)
                     room.reserve.lasted(now - charge.since)
 
-    def park(self, now: float, ask: int, session: int) -> None:
+    def park(self, now: float, ask: int, session: str) -> None:
         """It has left its server and will be asked for again: its room waits for it."""
         if charge := self.sessions.get(ask):
             charge.parked_until = now + PARK_PERIODS * self.plan.period_ms
             self.parked[session] = ask
 
-    def unpark(self, now: float, ask: int, session: int) -> bool:
+    def unpark(self, now: float, ask: int, session: str) -> bool:
         """It is asked for again, by another number. False: nothing was kept."""
         self.wake(now)
         old = self.parked.pop(session, None)
@@ -319,6 +321,8 @@
             "waits_for": sorted(self.escrow.unheard),
             "forgotten": sorted(self.escrow.forgotten),
             "limits": limits,
+            "soft_oldest_s": round(self.oldest_ms / 1000, 3) if self.escrow.soft else None,
+            "soft_bound_s": STALE_PERIODS * self.plan.period_ms / 1000 if self.escrow.soft else None,
             "counts": dict(self.counts),
         }
 
--- a/lemonhall/limits/plan.py
+++ b/lemonhall/limits/plan.py
@@ -22,9 +22,15 @@
 FANOUT = 12  # fronts that are spoken to in a period, at most, but for answers
 TRIES = 3  # to renew a loan within its lease
 LENDERS_MOST = FANOUT * LEASE_PERIODS // TRIES
+LIMITS_MOST = 16  # of one fleet, so that one datagram tells of all
 PAIR_MOST = 20  # loans from one front to another, so that one datagram names them all
 MILLI = 1000  # units of a set-up a second
-STALE_PERIODS = 10  # a counter older than that is shown as stale
+STALE_PERIODS = 10  # counters older than that are not gone by
+
+
+def back_ms(period_ms: float, longest_ms: float, deadline_ms: float) -> float:
+    """From when a front was last heard until nothing stands on what it was lent, by the lender's clock."""
+    return (LEASE_PERIODS * period_ms + longest_ms) * (1 + DRIFT) + deadline_ms
 
 
 class Hold(StrEnum):
@@ -108,7 +114,25 @@
         )
         return cls(made, terms.classes, terms.ladder_kb, min(PERIOD_MOST_MS, period_ms))
 
-    # bounds
+    def bound(self, limit: Limit) -> str:
+        """What holds, in figures."""
+        if limit.hold is Hold.EXACT:
+            lease, back = self.lease_ms / 1000, self.back_ms(limit) / 1000
+            keeps = f", what stands on it ends after {limit.longest_ms / 1000:g} s more" * bool(
+                limit.longest_ms
+            )
+            return (
+                f"never over {limit.amount}; cut off, a front begins nothing on lent room after {lease:g} s"
+                f"{keeps}; room of one that is gone is back after {back:.3g} s"
+            )
+        if limit.hold is Hold.PACED:
+            rate = limit.amount / MILLI
+            return f"all fronts begin at most {rate:g} t + {limit.burst:g} in any t seconds"
+        stale = STALE_PERIODS * self.period_ms / 1000
+        return (
+            f"never over {limit.amount} while all hear one another; a front that has not heard of another "
+            f"for {stale:g} s begins nothing over its part, 1 of so many fronts"
+        )
 
     @property
     def lease_ms(self) -> float:
@@ -130,7 +154,7 @@
 
     def back_ms(self, limit: Limit) -> float:
         """By the lender's clock, from when it heard the question: then nothing stands on the loan."""
-        return (self.lease_ms + limit.longest_ms) * (1 + DRIFT) + self.deadline_ms
+        return back_ms(self.period_ms, limit.longest_ms, self.deadline_ms)
 
     @property
     def open_ms(self) -> float:
--- a/lemonhall/limits/soft.py
+++ b/lemonhall/limits/soft.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from lemonhall.limits.plan import STALE_PERIODS, Limit
+from lemonhall.limits.plan import Limit
 
 
 @dataclass(frozen=True, order=True)
@@ -23,16 +23,11 @@
 
 @dataclass(frozen=True)
 class Estimate:
-    """`known` by others' last words; `off`: they may have added so much since; `oldest_ms`: of those words.
-
-    `charged`: what a session that is to fit counts them as. It grows for as long as words are thought late
-    and not lost (`STALE_PERIODS`): `off` beyond that is what this limit may be over by.
-    """
+    """`known` by others' last words, `oldest_ms` old at most; `off`: they may have added so much since."""
 
     known: int
     off: float
     oldest_ms: float
-    charged: float
 
 
 class Counters:
@@ -49,8 +44,7 @@
             self.entries[front] = entry
 
     def estimate(self, now: float, number: int, fronts: int, amount: int) -> Estimate:
-        known, off, oldest, charged = 0, 0.0, 0.0, 0.0
-        span_ms = STALE_PERIODS * self.period_ms
+        known, off, oldest = 0, 0.0, 0.0
         for front in range(fronts):
             if front == number:
                 continue
@@ -60,9 +54,7 @@
             known += used
             off += min(rise, max(0, amount - used))
             oldest = max(oldest, age)
-            late = self.burst() + self.limit.rise * min(age, span_ms) / 1000
-            charged += min(used + late, max(amount, used))
-        return Estimate(known, off, oldest, charged)
+        return Estimate(known, off, oldest)
 
     def forget(self, front: int, now: float) -> None:
         """It is gone for good, and adds nothing any more."""
--- a/lemonhall/model/played/draws.py
+++ b/lemonhall/model/played/draws.py
@@ -78,7 +78,8 @@
         now = np.full(count, mix.per_s)
         for f in surges:
             now[(at >= f.at_ms) & (at < f.at_ms + f.for_ms)] += mix.per_s * f.part
-        at = at[(arrivals.random(count) * most < now) & (at < day.length_ms)]
+        comes = (at >= mix.since_ms) & (at < min(mix.until_ms, day.length_ms))
+        at = at[(arrivals.random(count) * most < now) & comes]
         n = len(at)
         weights = np.cumsum(1 / np.arange(1, mix.titles + 1))
         title = np.searchsorted(weights, stream(seed, f"titles/{which}").random(n) * weights[-1])
--- a/lemonhall/model/played/fronts.py
+++ b/lemonhall/model/played/fronts.py
@@ -17,6 +17,7 @@
 from lemonhall.interface import NoteKind, Outcome, ServerState
 from lemonhall.model.played import deciders
 from lemonhall.model.played.fleet import Box
+from lemonhall.model.played.limited import Limited
 from lemonhall.model.played.parts import Stage, Watcher
 from lemonhall.recovery import Phase, Recovery, Waits
 
@@ -149,6 +150,7 @@
         self.headless = False  # none is there
         self.halls: Halls | None = None
         self.halls_kept = b""
+        self.limits: Limited | None = None
         self.apart = False  # hears none that are not, nor do these hear it
         self.returning: Recovery | None = None
         self.kept_return = b""
@@ -165,6 +167,7 @@
         self.module = make(settings, self.world.seed * 100 + self.index)
         if self.world.day.terms.spills:
             self.start_halls()
+        self.limits = Limited(self, PEER_MS, PEER_LOSS) if self.world.limited else None
         if self.world.returning:
             self.start_return()
         self.call()
@@ -270,14 +273,16 @@
                 self.say_halls()
 
     def advise(self, ask: Ask, advice: i.Advice) -> i.Advice:
-        """What the ruling of its halls makes of it."""
+        """What the rulings of its halls and limits make of it."""
+        if self.limits:
+            advice = self.limits.advise(ask, advice)
         if self.halls is None:
             return advice
         _, first, cells = self.world.place_of(ask.viewer.wish)
         most = self.world.day.terms.cells
         row = frozenset((first + n) % most for n in range(cells)) if cells < most else None
         ruling = self.halls.ask(self.world.sim.now, ask.number, ask.viewer.wish.cls, row)
-        return replace(advice, prefer=ruling.prefer, cap=ruling.cap, bars=ruling.bars)
+        return replace(advice, prefer=ruling.prefer, cap=min(advice.cap, ruling.cap), bars=ruling.bars)
 
     def forget(self, ask: Ask) -> None:
         self.asks.pop(ask.number, None)
@@ -285,6 +290,8 @@
             self.returning.drop(ask.number)
         if self.halls:
             self.halls.over(self.world.sim.now, ask.number)
+        if self.limits:
+            self.limits.over(ask)
 
     def kill(self) -> None:
         """All but what is on disk is gone with it; viewers and servers see their connections break."""
@@ -520,7 +527,8 @@
         limit = min(left, action.timeout_ms) if action.timeout_ms > 0 else left
         box = self.world.box_at(action.server)
         over = ask.tries > self.world.day.terms.max_attempts or ask.attempt is not None
-        if over or box is None or ask.answered or ask.gone:
+        over = over or box is None or ask.answered or ask.gone
+        if over or box is None or (self.limits and not self.limits.may(ask)):
             self.tell(i.AttemptEnded(action.id, number, action.server, Outcome.MOOT, False, 0.0))
             return
         made = Attempt(self, ask, number, action.server, box, self.world.rate(ask.viewer.wish, ask.rung))
--- a/lemonhall/model/played/viewers.py
+++ b/lemonhall/model/played/viewers.py
@@ -36,7 +36,7 @@
         world, wish = self.world, self.wish
         wish.tries += 1
         draw = world.named.uniform("front", wish.number, wish.tries)
-        fronts = world.fronts_of(wish.hall)
+        fronts = world.fronts_at(wish)
         front = fronts[min(len(fronts) - 1, int(len(fronts) * draw**1.2))]
         self.front, self.state, self.moving = front, "connecting", False
         wait = world.hop() * (4 if world.named.uniform("describes", wish.number, wish.tries) < 0.3 else 2)
--- a/lemonhall/model/played/world.py
+++ b/lemonhall/model/played/world.py
@@ -12,6 +12,7 @@
 from lemonhall import interface as i
 from lemonhall.audit import Report, audit
 from lemonhall.audit.halls import of_halls
+from lemonhall.audit.limits import of_limits
 from lemonhall.audit.returns import of_returns
 from lemonhall.audit.trace import Trace
 from lemonhall.config.day import Day, FaultSpec
@@ -71,14 +72,16 @@
         timer: Callable[[], float] = time.perf_counter,
         asked: list[Wish] | None = None,
         returning: bool = True,
+        limited: bool = True,
     ) -> None:
-        """`returning`: fronts come back by the machine of recovery. Raises `BadInput` for a day with faults
-        that are played on sockets alone."""
+        """`returning`: fronts come back by the machine of recovery; `limited`: they hold the fleet's limits.
+        Raises `BadInput` for a day with faults that are played on sockets alone."""
         left = {f.kind for f in day.faults if f.link or f.kind in ON_SOCKETS} | {"link" for _ in day.links}
         if left:
             raise BadInput(day.name, f"the model does not play {', '.join(sorted(left))}: take them out")
         self.day, self.seed, self.make, self.timer = day, seed, make, timer
         self.returning = returning
+        self.limited = bool(day.terms.fleet_limits) and limited
         self.sim = Sim()
         self.named = Named(seed)
         self.trace = Trace()
@@ -114,8 +117,11 @@
         """Whoever answers at a server's address now: perhaps its successor."""
         return self.lives.get(server)
 
-    def fronts_of(self, hall: int) -> list[Front]:
-        return self.by_hall.get(hall, self.fronts)
+    def fronts_at(self, wish: Wish) -> list[Front]:
+        """Those that this person may come to."""
+        if name := self.day.mixes[wish.mix].front:
+            return [f for f in self.fronts if f.name == name]
+        return self.by_hall.get(wish.hall, self.fronts)
 
     def rate(self, wish: Wish, rung: int) -> float:
         terms = self.day.terms
@@ -301,6 +307,9 @@
         report.seconds = self.timer() - began
         if spilled := of_halls(self.trace, self.day):
             report.halls = spilled.to_json()
+        machines = [f.limits.machine for f in self.fronts if f.limits]
+        if limits := of_limits(self.trace, self.day, [m.show(self.sim.now) for m in machines]):
+            report.limits = limits.to_json()
         if returned := of_returns(self.trace, self.day.terms):
             report.returned = returned.to_json()
         return Played(
--- a/lemonhall/seam/messages.py
+++ b/lemonhall/seam/messages.py
@@ -338,6 +338,16 @@
     attempt: int
 
 
+@dataclass(slots=True)
+class Finish(Message):
+    """What plays is ended in order; nobody asks again for it."""
+
+    KIND = 46
+    FORM = "us"
+    ask: int
+    why: str
+
+
 @dataclass(slots=True)
 class Ping(Message):
     """`own`: viewers of this worker, as it told last; `mean`: of one that takes new ones, as of then."""
@@ -392,6 +402,7 @@
         Failed,
         Move,
         Cancel,
+        Finish,
         Ping,
         Redirect,
         Retire,
--- a/lemonhall/standins/viewers.py
+++ b/lemonhall/standins/viewers.py
@@ -262,7 +262,7 @@
     def start(self, wish: Wish) -> None:
         day = self.day
         halls = [f.name for f in day.fronts if f.hall == wish.hall]
-        names = halls or [f.name for f in day.fronts]
+        names = [wish.mix.front] if wish.mix.front else halls or [f.name for f in day.fronts]
         wish.tries += 1
         self.open.add(
             Viewer(self, wish, names[min(len(names) - 1, int(len(names) * self.random.random() ** 1.2))])
@@ -295,6 +295,8 @@
             at += random.expovariate(most) * 1000
             if at >= day.length_ms:
                 break
+            if not mix.since_ms <= at < mix.until_ms:
+                continue
             now = mix.per_s * (1 + sum(f.part for f in surges if f.at_ms <= at < f.at_ms + f.for_ms))
             if random.random() * most >= now:
                 continue
--- /dev/null
+++ b/tests/front/test_limits.py
@@ -0,0 +1,156 @@
+"""Limits of the whole fleet at running fronts: refused at once with a reason, shown, handed over, and held by
+eight processes while links and fronts fail."""
+
+from __future__ import annotations
+
+import json
+import re
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from lemonhall.config.day import read_day
+from lemonhall.day import play_day
+from lemonhall.front.deciding.limits import LimitsDesk
+from lemonhall.limits import Limits, Plan
+from lemonhall.loop import Loop
+from lemonhall.model.played.world import World
+from tests.limits.worlds import PERIOD, exact, plan
+
+DAYS = Path(__file__).parents[2] / "examples" / "days"
+
+
+class Line:
+    """Words of two desks, which know one another at once."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.other: LimitsDesk | None = None
+        self.sent = 0
+
+    def tell_front(self, number: int, message: Any) -> bool:
+        self.sent += 1
+        if self.other:
+            self.other.loop.call_soon(self.other.heard, message)
+        return True
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.at = 1000.0
+
+    def __call__(self) -> float:
+        return self.at
+
+
+def desks(made: Plan) -> tuple[Loop, Clock, list[LimitsDesk]]:
+    clock = Clock()
+    loop, found = Loop(lambda: clock.at / 1000), []
+    lines = [Line(0), Line(1)]
+    for n, line in enumerate(lines):
+        machine = Limits(made, n, 2, 0, 1, Random(n), clock.at)
+        machine.escrow.members = (0, 1)
+        found.append(LimitsDesk(loop, machine, line, clock))
+    lines[0].other, lines[1].other = found[1], found[0]
+    for desk in found:
+        desk.start()
+    run(loop, clock, 6)
+    return loop, clock, found
+
+
+def run(loop: Loop, clock: Clock, periods: float) -> None:
+    for _ in range(round(10 * periods)):
+        clock.at += PERIOD / 10
+        loop.run_once(0.0)
+
+
+def test_desks_share_a_limit_and_say_so() -> None:
+    loop, clock, (one, other) = desks(plan(exact(4)))
+    for ask in range(1, 20):
+        one.ask(ask, 0, 0, "/a", 99, "")
+        run(loop, clock, 0.5)
+    told = [json.loads(desk.page()[2])["limits"][0] for desk in (one, other)]
+    assert [t["used"] for t in told] == [4, 0] and told[1]["lent"] == told[0]["borrowed"] == 2
+    assert one.ask(99, 0, 0, "/a", 99, "").refused == "seats"
+    assert other.forget("0")[0] == 409 and other.forget("x")[0] == 400
+    loop.close()
+
+
+def test_a_session_that_moves_keeps_its_room() -> None:
+    loop, clock, (one, other) = desks(plan(exact(2)))
+    assert not one.ask(1, 0, 0, "/a", 99, "").refused and not other.ask(1, 0, 0, "/a", 99, "").refused
+    one.park(1, "s")
+    one.over(1)  # its ask is over, the session is not
+    assert other.ask(2, 0, 0, "/a", 99, "").refused
+    assert not one.ask(2, 0, 0, "/a", 99, "s").refused
+    one.park(2, "s")
+    one.over(2)
+    run(loop, clock, 20)  # it never came
+    assert not one.ask(3, 0, 0, "/a", 99, "").refused
+    loop.close()
+
+
+def test_one_that_is_relieved_lets_nothing_in_and_its_successor_what_is_left() -> None:
+    loop, clock, (one, other) = desks(plan(exact(4)))
+    for ask in range(1, 20):
+        one.ask(ask, 0, 0, "/a", 99, "")
+        run(loop, clock, 0.5)
+    one.stop()
+    state = one.machine.escrow.state()
+    made = Limits(plan(exact(4)), 0, 2, 0, 9, Random(9), clock.at)
+    made.take_over(clock.at, state)
+    assert one.ask(50, 0, 0, "/a", 99, "").refused == "changing guard"
+    assert made.ask(clock.at, 51, 0, 0, "/a").refused == "seats"  # what stands there counts
+    made.carried_all()
+    assert not made.ask(clock.at, 52, 0, 0, "/a").refused
+    assert other.ask(53, 0, 0, "/a", 99, "").refused
+    loop.close()
+
+
+def test_eight_processes_keep_their_limits_while_all_that_is_between_them_fails(tmp_path: Path) -> None:
+    """Counted at the servers' taps; in short form."""
+    path = tmp_path / "short.kdl"
+    text = (DAYS / "limits-apart.kdl").read_text()
+    for long, short in (
+        (r"length=\(s\)24", "length=(s)13"),
+        (r"at=\(s\)6 +for=\(s\)5", "at=(s)3 for=(s)4"),
+        (r"at=\(s\)8 +for=\(s\)1", "at=(s)4 for=(s)1"),
+        (r"at=\(s\)9 +for=\(s\)3", "at=(s)5 for=(s)3"),
+        (r"at=\(s\)14 +for=\(s\)4", "at=(s)8 for=(s)3"),
+        (r"at=\(s\)16 +for=\(s\)1", "at=(s)9 for=(s)1"),
+        (r"\(s\)12", "(s)7"),
+    ):
+        text, count = re.subn(long, short, text)
+        assert count
+    path.write_text(text)
+    report = play_day(read_day(path), path)
+    told = report.to_json()
+    assert told["rules_broken"] == 0 and told["limit_over_most"] == 0
+    assert 0 < float(str(told["limit_over_bound"])) <= 1
+    assert float(str(told["limit_stale_most_s"])) <= float(str(told["limit_stale_bound_s"]))
+    assert float(str(told["limit_used_share"])) > 0.2 and report.played > 50
+
+
+def used(fronts: int = 24, **more: bool) -> dict[str, float]:
+    """The surge in the model, without the gate of a front that starts. One front is a true counter."""
+    day = read_day(DAYS / "limits-surge.kdl")
+    if fronts == 1:
+        mixes = tuple(replace(mix, front="front-0") for mix in day.mixes)
+        day = replace(day, fronts=day.fronts[:1], mixes=mixes)
+    return World(day, 3, returning=False, **more).play().report.limits
+
+
+def test_a_surge_finds_the_room_of_24_fronts_in_the_model() -> None:
+    told, counter = used(), used(fronts=1)
+    assert told["limit_over_most"] == 0 and told["limit_over_bound"] <= 1
+    assert told["limit_used_share"] >= 0.9 * counter["limit_used_share"]
+    assert used(limited=False)["limit_over_most"] > 10  # nothing else holds it
+
+
+def test_cut_in_halves_each_uses_what_it_holds() -> None:
+    world = World(read_day(DAYS / "limits-surge.kdl"), 3, returning=False)
+    for front in world.fronts:
+        front.apart = front.index % 2 == 0
+    told = world.play().report.limits
+    assert told["limit_over_most"] == 0 and told["limit_used_share"] < 0.7
--- a/tests/limits/test_paced.py
+++ b/tests/limits/test_paced.py
@@ -207,6 +207,18 @@
     assert told["oldest_s"] >= 2.9 and fleet.standing() > 60
 
 
+def test_one_that_has_not_heard_for_long_goes_by_its_own_part() -> None:
+    fleet = Fleet(plan(soft(30, rise=100.0)), 3)
+    fleet.run(8)
+    cut = frozenset(frozenset((0, n)) for n in (1, 2))
+    for _ in range(100):
+        for number in range(3):
+            fleet.ask(number)
+        fleet.run(0.4, cut=cut)
+    assert [len(s) for s in fleet.stands] == [10, 10, 10]
+    assert fleet.fronts[0].show(fleet.clock(0))["soft_oldest_s"] <= 10 * PERIOD / 1000
+
+
 @given(st.permutations(range(6)), st.lists(st.integers(0, 5), max_size=6))
 @settings(max_examples=80, deadline=None, suppress_health_check=list(HealthCheck))
 def test_counters_join_without_order(order: list[int], again: list[int]) -> None:
