--- a/lemonhall/limits/escrow.py
+++ b/lemonhall/limits/escrow.py
@@ -22,7 +22,7 @@
 
 from lemonhall.limits.limits_pb2 import State, Words
 from lemonhall.limits.parts import Loan, Parts
-from lemonhall.limits.plan import FANOUT, LENDERS_MOST, PAIR_MOST, Hold, Limit, Plan, owners
+from lemonhall.limits.plan import FANOUT, LENDERS_MOST, PAIR_MOST, RENEWALS, Hold, Limit, Plan, owners
 from lemonhall.limits.rooms import SPAN_PERIODS, Demand, Room
 from lemonhall.limits.soft import Counters, Entry
 
@@ -267,7 +267,7 @@
         self.welcome_back()
         held = [f for f, keys in self.links.items() if any(f in self.rooms[k].parts.held for k in keys)]
         held.sort(key=lambda f: self.peers[f].asked)
-        to = dict.fromkeys(held[:FANOUT], True)
+        to = dict.fromkeys(held[:RENEWALS], True)
         open_to = [f for f in self.links if f not in to and self.opened(f)]
         to.update(dict.fromkeys(open_to[:FANOUT], True))
         others = [m for m in self.members if m != self.number]
@@ -296,7 +296,8 @@
             late = [f for f in late if now - room.asked_of.get(f, -inf) >= again]
             spare = {f: self.peers[f].spare.get(key[0], -1) if f in self.peers else -1 for f in late}
             full = len(room.parts.held) >= LENDERS_MOST
-            late = [f for f in late if spare[f] != 0 and (not full or f in room.parts.held)] or late
+            late = [f for f in late if not full or f in room.parts.held]
+            late = [f for f in late if spare[f]] or late
             self.random.shuffle(late)
             late.sort(key=lambda f: -spare[f])
             hoped = 0
@@ -416,6 +417,17 @@
             lent = [f for f, loan in room.parts.lent.items() if loan.amount]
             self.recalled |= {f for f in lent if room.called_from(f)}
 
+    def freed(self, now: float, key: Key) -> None:
+        """Something has ended: what a lender has asked back goes back now, not in the next round."""
+        room = self.rooms[key]
+        room.settle_need(now)
+        for front, until in list(room.wanted_by.items()):
+            if until < now:
+                del room.wanted_by[front]
+            elif not room.parts.need and room.parts.free() > 0:
+                room.parts.give_back(room.periods(now, 1), only=front)
+                self.answer.add(front)
+
     def new_life(self, now: float, sender: int, peer: Peer, words: Any) -> None:
         """Its process remembers nothing. What stood under the life before has ended with it, or runs out."""
         for key in list(self.links.get(sender, ())):
@@ -471,8 +483,11 @@
             parts.unheard.discard(sender)  # and nothing has to be taken note of
         elif sender in parts.unheard or sender in parts.lent:
             parts.returned(sender, seq, held)
-        if part and (part.need or part.recall) and not parts.need:
-            parts.give_back(0, only=sender)
+        if part and (part.need or part.recall):
+            room.wanted_by[sender] = now + self.plan.period_ms
+            room.settle_need(now)
+            if not parts.need:
+                parts.give_back(room.periods(now, 1), only=sender)
         if part and part.need:
             room.called[sender] = part.need
         if room.called:
--- a/lemonhall/limits/machine.py
+++ b/lemonhall/limits/machine.py
@@ -274,6 +274,8 @@
                     room.parts.used -= units
                     room.reserve.take(units, charge.premium, -1)
                     room.reserve.lasted(now - charge.since)
+                    if room.wanted_by:
+                        self.escrow.freed(now, key)
 
     def park(self, now: float, ask: int, session: str) -> None:
         """It has left its server and will be asked for again: its room waits for it."""
--- a/lemonhall/limits/plan.py
+++ b/lemonhall/limits/plan.py
@@ -19,9 +19,10 @@
 PERIOD_MOST_MS = 500.0
 LEASE_PERIODS = 16  # three tries to renew with each of as many lenders as may be held from
 DRIFT = 0.001  # two clocks that do not go back differ by no more than this part of what has passed
-FANOUT = 12  # fronts that are spoken to in a period, at most, but for answers
+FANOUT = 12  # fronts that are asked at once, and told of open loans in a period
+RENEWALS = 48  # lenders that are asked to renew in a period
 TRIES = 3  # to renew a loan within its lease
-LENDERS_MOST = FANOUT * LEASE_PERIODS // TRIES
+LENDERS_MOST = RENEWALS * LEASE_PERIODS // TRIES
 LIMITS_MOST = 16  # of one fleet, so that one datagram tells of all
 PAIR_MOST = 20  # loans from one front to another, so that one datagram names them all
 MILLI = 1000  # units of a set-up a second
--- a/lemonhall/limits/rooms.py
+++ b/lemonhall/limits/rooms.py
@@ -9,7 +9,7 @@
 from lemonhall.limits.plan import MILLI, Hold, Limit
 from lemonhall.limits.reserve import Reserve
 
-SPAN_PERIODS = 2  # of what was asked for, as it is remembered
+SPAN_PERIODS = 1  # of what was asked for, as it is remembered
 KEEP_PERIODS = 2  # of own demand, that are not lent
 BACK_PERIODS = 4  # of own demand, that a borrower keeps of what is free
 MARGIN = 1.25  # a pace that just fits what was asked for refuses by chance
@@ -71,7 +71,9 @@
     owners: list[int] = field(default_factory=list)  # who have one unit more than the others
     orphaned: int = 0  # of the own part, lent to lives of others that are over, and not yet run out
     called: dict[int, int] = field(default_factory=dict)  # who lacks what of what is lent of the own part
+    wanted_by: dict[int, float] = field(default_factory=dict)  # lenders that ask theirs back, until when
     wanted_at: float = float("-inf")  # when too little was here last
+    wanted: int = 0  # units that did not fit then
     called_at: float = float("-inf")  # when it was last asked back
     usable_before: int = 0  # of a paced limit, since its tokens were last counted
     owed: int = 0  # stands under a process that this one relieved, and has not been carried over
@@ -116,10 +118,16 @@
             short = self.periods(now, 1) - self.parts.mine()
         else:
             short = units + self.periods(now, KEEP_PERIODS) - max(0, self.parts.free())
-        self.wanted_at = now
+        self.wanted_at, self.wanted = now, units
         most = max(units, int(NEED_MOST * self.amount))
         self.parts.need = max(self.parts.need, min(most, short), 0)
 
+    def settle_need(self, now: float) -> None:
+        """What has become free since is not lacked any more."""
+        free = self.parts.free()
+        if not self.paced and free >= max(1, self.wanted):
+            self.parts.need = max(0, min(self.parts.need, self.periods(now, KEEP_PERIODS) - free))
+
     def ease(self, now: float) -> None:
         """Once a period: what is not asked for again is not wanted, and what is held too much goes back."""
         if self.paced:
@@ -128,6 +136,7 @@
         else:
             if now - self.wanted_at >= self.period_ms:  # a new one has yet to be told to all
                 self.parts.need = int(EASE * self.parts.need)
+            self.settle_need(now)
         self.called = {f: int(EASE * units) for f, units in self.called.items() if units > 1}
         if not self.parts.need:
             self.asked_of.clear()
--- a/tests/front/test_reload.py
+++ b/tests/front/test_reload.py
@@ -2,44 +2,16 @@
 
 from __future__ import annotations
 
-import pickle
 from collections.abc import Callable
-from pathlib import Path
 
 import pytest
 
 from lemonhall import interface as i
-from lemonhall.config.schema import SETTINGS
-from lemonhall.config.settings import read_tree
 from tests.front.world import TERMS, World
 
 Build = Callable[..., World]
 
 
-@pytest.fixture
-def reloaded(world: Build, tmp_path: Path) -> Callable[[str], tuple[World, Callable[[str], bool]]]:
-    """A world, and what loads other terms into it: whether they were taken."""
-
-    def build(terms: str) -> tuple[World, Callable[[str], bool]]:
-        w = world(terms=terms)
-        path = tmp_path / "front.kdl"
-        w.daemon.remember(str(path), pickle.dumps(read_tree(path, SETTINGS)[1]))
-
-        def load(other: str) -> bool:
-            text = path.read_text().replace(terms, other)
-            path.write_text(text)
-            ended: list[bool] = []
-            w.daemon.hooks.on_load = ended.append
-            w.daemon.reload()
-            w.until(lambda: ended, 30)
-            path.write_text(text.replace(other, terms))
-            return ended[0]
-
-        return w, load
-
-    return build
-
-
 def test_routes_change_and_what_plays_goes_on(reloaded: Build) -> None:
     w, load = reloaded(TERMS)
     client, session = w.playing("/browse/a")
--- a/tests/limits/test_exact.py
+++ b/tests/limits/test_exact.py
@@ -508,3 +508,59 @@
     front.hear(fleet.clock(1), 99, b"")
     assert front.counts["unreadable"] + front.counts["no_such_front"] >= 2
     fleet.check()
+
+
+# many fronts, and what should not happen
+
+
+@pytest.mark.parametrize("groups", [2, 3])
+def test_24_fronts_in_parts_keep_within_the_limit_and_use_what_they_hold(groups: int) -> None:
+    fleet = Fleet(plan(exact(72, longest_ms=60_000.0)), 24)
+    fleet.run(4)
+    cut = frozenset(frozenset((a, b)) for a in range(24) for b in range(a) if a % groups != b % groups)
+    random = fleet.random
+    for turn in range(60):
+        for number in (0, 1, 2):  # of each group one gets the demand
+            for _ in range(4):
+                fleet.ask(number)
+            if random.random() < 0.5:
+                fleet.end(number)
+        if turn == 30:
+            fleet.kill(5)
+        fleet.run(0.4, loss=0.3, cut=cut)
+        fleet.check()
+        fleet.check_standing()
+    assert fleet.standing() >= 60  # what each group holds is found within it
+    fleet.run(4)
+    fleet.check()
+
+
+def test_all_killed_at_once_use_their_parts_when_all_have_spoken() -> None:
+    fleet = borrowed()
+    for number in range(3):
+        fleet.kill(number)
+    assert not any(fleet.ask(number) for number in range(3))
+    fleet.run(2)
+    assert all(fleet.ask(number) for number in range(3))
+    fleet.check()
+
+
+def test_a_clock_set_back_begins_a_later_life_all_the_same() -> None:
+    fleet = borrowed()
+    fleet.kill(0)
+    fleet.fronts[0].escrow.life = 0  # its wall clock is an hour back
+    fleet.run(4)
+    assert fleet.fronts[0].escrow.life > 1 and not fleet.fronts[0].escrow.unheard
+    assert fleet.ask(0)
+    fleet.check()
+
+
+def test_of_two_fronts_with_one_number_neither_uses_the_part() -> None:
+    fleet = Fleet(plan(exact(6)), 3)
+    fleet.run(4)
+    fleet.fronts[0].escrow.twin = True
+    fleet.fronts[0].escrow.agree()
+    assert not fleet.ask(0)
+    assert fleet.ask(1)
+    fleet.run(2)
+    fleet.check()
