--- a/lemonhall/limits/escrow.py
+++ b/lemonhall/limits/escrow.py
@@ -31,7 +31,7 @@
 NEEDS_MOST = 8  # named in one word, beside loans
 COUNTS_MOST = 8  # of others' counters, in one word
 NEWS = 2  # fronts that are spoken to each period, whoever they are
-WORDS_A_PERIOD = 3 * FANOUT  # but for answers
+WORDS_A_PERIOD = RENEWALS + 4 * FANOUT  # but for answers
 ROOMS_MOST = 20_000
 
 
@@ -95,6 +95,7 @@
         self.next_round = now + plan.period_ms * random.random()
         self.budget = float(WORDS_A_PERIOD)
         self.counts = Counter[str]()
+        self.drawn: dict[int, list[int]] = {}
         self.soft: dict[int, Counters] = {}
         self.soft_used = Counter[int]()
         self.settle(plan)
@@ -133,7 +134,9 @@
             m.ident: min([m.amount, *(p.amounts.get(m.ident, m.amount) for p in self.peers.values())])
             for m in self.plan.limits
         }
-        self.share = len(set(range(self.fronts)) - self.gone())
+        self.there = sorted(set(range(self.fronts)) - self.gone())
+        self.share, self.drawn = len(self.there), {}
+        self.away = self.twin or any(self.number in p.forgotten for p in self.peers.values())
         for room in self.rooms.values():
             self.cut(room)
 
@@ -144,11 +147,18 @@
     def cut(self, room: Room) -> None:
         """Its own part, by what all have said."""
         room.amount = self.amounts.get(room.limit.ident, room.limit.amount)
-        there = sorted(set(range(self.fronts)) - self.gone())
-        room.owners = owners(room.limit, room.title, room.amount, there)
+        room.owners = self.owners(room.limit, room.title, room.amount)
         whole = room.amount // self.share + (self.number in room.owners)
-        away = self.twin or any(self.number in p.forgotten for p in self.peers.values())
-        room.parts.own = (0 if away else whole) - room.orphaned
+        room.parts.own = (0 if self.away else whole) - room.orphaned
+
+    def owners(self, limit: Limit, title: int, amount: int) -> list[int]:
+        """Who have one unit more; of what is not by title it is found once."""
+        found = self.drawn.get(limit.ident) if not title else None
+        if found is None:
+            found = owners(limit, title, amount, self.there)
+            if not title:
+                self.drawn[limit.ident] = found
+        return found
 
     def room(self, limit: Limit, title: int) -> Room:
         key = limit.ident, title if limit.each_title else 0
@@ -349,9 +359,9 @@
         """Spare of a limit that nobody has asked for here; of a limit by title nobody can say in a word."""
         if limit.each_title:
             return 1
-        idle = Room(limit, 0, Parts(0, self.unheard), Demand(1.0), 1.0, 0)
-        self.cut(idle)
-        return idle.parts.own_free()
+        amount = self.amounts[limit.ident]
+        whole = amount // self.share + (self.number in self.owners(limit, 0, amount))
+        return 0 if self.unheard or self.away else whole
 
     # words in
 
@@ -450,12 +460,14 @@
         peer.spare = {t.limit: t.spare for t in words.told}
         forgotten = frozenset(words.forgotten)
         silent = {f for f in forgotten - {self.number} if not self.speaks(now, f)}
-        if (amounts, words.fronts, forgotten) != (peer.amounts, peer.fronts, peer.forgotten) or (
-            silent - self.forgotten
-        ):
-            peer.amounts, peer.fronts, peer.forgotten = amounts, words.fronts, forgotten
-            for front in sorted(silent - self.forgotten):
-                self.forget(now, front)
+        held, goes_by = peer.amounts, self.amounts
+        other = any(goes_by[m] != n or held.get(m, n) != n for m, n in amounts.items())
+        other |= words.fronts > self.fronts or peer.fronts > words.fronts
+        other |= forgotten != peer.forgotten or sender in self.forgotten
+        peer.amounts, peer.fronts, peer.forgotten = amounts, words.fronts, forgotten
+        for front in sorted(silent - self.forgotten):
+            self.forget(now, front)
+        if other:
             self.agree()
         transit_ms = now - words.echo / 1000
         for c in words.counts if words.echo else ():
