The module hears what crossing zones costs: own zone's holders beside the random two

`pick` looks on, within its 16 looks, until two holders of the own zone are among the good ones; the best two of the random pair and these, by free part less the price, are tried. Where the price is 0 nothing changes.

--- a/lemonhall/config/schema.py
+++ b/lemonhall/config/schema.py
@@ -342,6 +342,7 @@
         fields=(
             Field("stall", "number", "of a second's stall", 0.0, 0),
             Field("switch", "number", "of a change of rung, in seconds", 0.0, 0),
+            Field("cross-hall", "number", "of a session that plays in another hall, as part of all", 0.0, 0),
             Field(
                 "over-share-worth",
                 "number",
--- a/lemonhall/config/settings.py
+++ b/lemonhall/config/settings.py
@@ -112,6 +112,7 @@
     spilling: SpillTimes = SpillTimes()
     no_spill: frozenset[int] = frozenset()  # classes whose sessions stay in their hall
     fleet_limits: tuple[FleetLimit, ...] = ()
+    cross_cost: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -239,6 +240,7 @@
             report_fields=t.report_fields,
             stall_cost=t.stall_cost,
             switch_cost_s=t.switch_cost_s,
+            cross_cost=t.cross_cost,
             may_probe=t.may_probe,
             may_tell_peers=t.may_tell_peers,
             max_pause_ms=t.max_pause_ms,
@@ -416,6 +418,7 @@
         ),
         no_spill=frozenset(n for n, c in enumerate(top(typed, "class")) if not c["spills"]),
         fleet_limits=tuple(make_limit(t, names) for t in top(typed, "limit")),
+        cross_cost=value("costs", "cross-hall"),
     )
 
 
--- a/lemonhall/decide.py
+++ b/lemonhall/decide.py
@@ -525,9 +525,16 @@
     def pick(self, s: Session) -> list[Box]:
         """Two random servers of those that hold the title and may take new work, the less loaded first.
 
+        Where it costs to cross zones two of the own zone are looked at beside them, and the price counts.
+
         Where advice sets some aside, two of the others come first, and two of these behind them.
         """
         cells, holders = self.settings.cells, self.order
+        cross, zone = self.settings.cross_cost, self.settings.zone
+
+        def net(box: Box) -> float:
+            return self.part_free(box) - cross * (box.told.zone != zone)
+
         if s.told.cells < cells:
             row = [(s.told.first_cell + n) % cells for n in range(s.told.cells)]
             holders = [b for cell in row for b in self.by_cell.get(cell, ())]
@@ -556,10 +563,11 @@
                 group = i.Because.FULL if full else i.Because.ASIDE if later else i.Because.LOOKED
                 self.tell(s, box, group, self.room(box))
                 (spare if full else aside if later else good).append(box)
-                if len(good) == 2:
+                if len(good) >= 2 and (not cross or sum(b.told.zone == zone for b in good) >= 2):
                     break
-        pairs = [group[:2] for group in (good, aside)] if good or aside else [spare[:2]]
-        return [b for pair in pairs for b in sorted(pair, key=lambda b: -self.part_free(b))]
+        good = good[:2] + [b for b in good[2:] if b.told.zone == zone]
+        pairs = [good, aside[:2]] if good or aside else [spare[:2]]
+        return [b for pair in pairs for b in sorted(pair, key=net, reverse=True)[:2]]
 
     def looks(self, s: Session, holders: list[Box]) -> Iterator[Box]:
         """Holders in random order, drawn as far as they are asked for. Those with own sessions come first, as
--- a/lemonhall/interface.py
+++ b/lemonhall/interface.py
@@ -94,6 +94,7 @@
     stall_cost: float = 0.0
     switch_cost_s: float = 0.0
     move_cost: float = 0.0
+    cross_cost: float = 0.0  # of a session that plays in another zone, as a part of the result
     may_probe: bool = False
     may_tell_peers: bool = False
     subscribes: bool = False  # the list must be asked for
--- a/lemonhall/wire.py
+++ b/lemonhall/wire.py
@@ -345,6 +345,7 @@
         stall_cost=p.number("specifics.stallCost", 0.0),
         switch_cost_s=p.number("specifics.switchCostS", 0.0),
         move_cost=p.number("costs.moves", 0.0),
+        cross_cost=p.number("costs.crossZone", 0.0),
         may_probe=p.flag("caps.probing"),
         may_tell_peers=p.flag("caps.peerMessages"),
         subscribes=p.text("discovery", "automatic") == "subscribe",
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -45,9 +45,11 @@
     return NewSession(ref, cls, ref, title, left, top, 0, 12)
 
 
-def started(settings: Settings, servers: tuple[Server, ...], now: float = 0.0, handed: bool = True) -> Front:
+def started(
+    settings: Settings, servers: tuple[Server, ...], now: float = 0.0, handed: bool = True, seed: int = 5
+) -> Front:
     """A front with a fresh list on which every server is proven by a session handed over."""
-    front = Front(settings, 5)
+    front = Front(settings, seed)
     events: list[Event] = [ServerList(ListKind.CACHED, 1, servers), ServerList(ListKind.FULL, 2, servers)]
     if handed:
         events += [HandedOver(request(9000 + n, title=900 + n), s.id) for n, s in enumerate(servers)]
@@ -694,3 +696,25 @@
     front = started(settings, make_servers(4))
     front.handle(100.0, [replace(request(1), waited_ms=2400.0)])
     assert front.taken[-1] == 100.0 - 2400.0
+
+
+def crossed(price: float, use: float = 0.0, asks: int = 60) -> float:
+    """Part of first set-ups that go to another zone, where servers of the own one are in use so far."""
+    settings = replace(make_settings(), zone=1, cross_cost=price)
+    servers = tuple(replace(s, zone=n % 2) for n, s in enumerate(make_servers(12)))
+    found = 0
+    for seed in range(asks):
+        front = started(settings, servers, seed=seed)
+        notes = [Note(9000 + n, 0, s.id, NoteKind.LINK, use * s.zone) for n, s in enumerate(servers)]
+        front.handle(500.0, list(notes))
+        (made,) = of(front.handle(1000.0, [request(1)]), SetUp)
+        found += servers[[s.id for s in servers].index(made.server)].zone != settings.zone
+    return found / asks
+
+
+def test_a_price_for_crossing_zones_keeps_sessions_in_their_own() -> None:
+    assert crossed(0.3) <= 0.05 and 0.25 <= crossed(0.0) <= 0.75
+
+
+def test_a_zone_that_is_fuller_by_more_than_the_price_is_left() -> None:
+    assert crossed(0.05, use=0.7) >= 0.5 and crossed(0.9, use=0.7) <= 0.1
