Settings: the price of crossing zones stands last, where captures read fields by place

A fresh clone's run was red: 16 captures of past trouble were decided otherwise (2,565 of 2,581 passed). Captures hold the module's settings field by field in their order, and the new field stood in the middle: what was true of `may_probe` was read as the price.

--- a/lemonhall/interface.py
+++ b/lemonhall/interface.py
@@ -94,7 +94,6 @@
     stall_cost: float = 0.0
     switch_cost_s: float = 0.0
     move_cost: float = 0.0
-    cross_cost: float = 0.0  # of a session that plays in another zone, as a part of the result
     may_probe: bool = False
     may_tell_peers: bool = False
     subscribes: bool = False  # the list must be asked for
@@ -109,6 +108,7 @@
     retry_free: float | None = None  # None: further attempts are not rationed
     retry_share: float = 0.0
     retry_span_ms: float = 0.0
+    cross_cost: float = 0.0  # of a session that plays in another zone, as a part of the result
 
     def __post_init__(self) -> None:
         """What no front can work with is refused at start, with the name of the setting."""
