--- a/lemonhall/audit/limits.py
+++ b/lemonhall/audit/limits.py
@@ -12,7 +12,7 @@
 from lemonhall.audit.rules import ENDS_SLACK_MS, SLACK_MS
 from lemonhall.audit.trace import Ask, Attempt, Trace
 from lemonhall.config.day import Day
-from lemonhall.config.settings import FleetLimit
+from lemonhall.limits import Hold, Limit, Unit
 
 STARTED_MS = 3000.0  # of a day: until its viewers have come
 
@@ -43,7 +43,7 @@
         }
 
 
-def covered(trace: Trace, day: Day, limit: FleetLimit) -> Iterator[tuple[Attempt, Ask]]:
+def covered(trace: Trace, day: Day, limit: Limit) -> Iterator[tuple[Attempt, Ask]]:
     halls = {f.name: f.hall for f in day.fronts}
     for attempt in trace.attempts:
         ask = trace.asks.get(attempt.token)
@@ -51,17 +51,17 @@
             yield attempt, ask
 
 
-def covers(limit: FleetLimit, ask: Ask, halls: dict[str, int]) -> bool:
+def covers(limit: Limit, ask: Ask, halls: dict[str, int]) -> bool:
     pairs = ((limit.partner, ask.tenant), (limit.cls, ask.cls), (limit.hall, halls.get(ask.front, -2)))
     return all(mine in (-1, theirs) for mine, theirs in pairs)
 
 
-def steps_of(limit: FleetLimit, attempt: Attempt, last: float) -> list[tuple[float, float]]:
+def steps_of(limit: Limit, attempt: Attempt, last: float) -> list[tuple[float, float]]:
     """What it takes from when to when: from its set-up until its end came, less what a tap may be late by."""
     if attempt.never_ran:
         return []
     end = max(attempt.at, min(last, attempt.end) - ENDS_SLACK_MS)
-    if limit.unit != "rate":
+    if limit.unit is not Unit.RATE:
         return [(attempt.at, 1.0), (end, -1.0)]
     marks = [(at, bits / 8000) for at, bits in attempt.rates if at < end] + [(end, 0.0)]
     found = []
@@ -78,7 +78,7 @@
     return most
 
 
-def held_most(trace: Trace, day: Day, limit: FleetLimit) -> float:
+def held_most(trace: Trace, day: Day, limit: Limit) -> float:
     """The most that stood at one time, of all titles or of the one that had most."""
     last = last_of(trace)
     by_title: dict[str, list[tuple[float, float]]] = defaultdict(list)
@@ -92,7 +92,7 @@
     return max(ends, default=0.0)
 
 
-def begun_over(trace: Trace, day: Day, limit: FleetLimit) -> float:
+def begun_over(trace: Trace, day: Day, limit: Limit) -> float:
     """Of all spans from one set-up to a later one, the most that began over what may, taps being late."""
     times = np.sort(np.array([attempt.at for attempt, _ in covered(trace, day, limit)]))
     per_ms, worst = limit.amount / 1_000_000, 0.0
@@ -102,7 +102,7 @@
     return worst
 
 
-def used_share(trace: Trace, day: Day, limit: FleetLimit) -> tuple[float, float]:
+def used_share(trace: Trace, day: Day, limit: Limit) -> tuple[float, float]:
     """What was used over what could have been, and how much more was wanted than there was."""
     halls = {f.name: f.hall for f in day.fronts}
     wanted: dict[str, tuple[float, float]] = {}  # by person: from the first try to the end of what it asked
@@ -133,8 +133,8 @@
     if not limits:
         return None
     over, by_limit = 0.0, {}
-    paced = [m for m in limits if m.hold == "paced"]
-    held = [m for m in limits if m.hold != "paced"]
+    paced = [m for m in limits if m.hold is Hold.PACED]
+    held = [m for m in limits if m.hold is not Hold.PACED]
     for limit in held:
         by_limit[limit.name] = held_most(trace, day, limit)
         over = max(over, by_limit[limit.name] - limit.amount)
@@ -145,12 +145,12 @@
     shares = [
         used_share(trace, day, m)
         for m in held
-        if m.hold == "exact" and m.unit == "sessions" and not m.each_title
+        if m.hold is Hold.EXACT and m.unit is Unit.SESSIONS and not m.each_title
     ]
     share = max(shares, key=lambda pair: pair[1], default=(-1.0, 0.0))[0]
     ages = [float(str(t["soft_oldest_s"])) for t in told if t.get("soft_oldest_s") is not None]
     bounds = [float(str(t["soft_bound_s"])) for t in told if t.get("soft_bound_s") is not None]
-    soft = bool(ages) and any(m.hold == "soft" for m in limits)
+    soft = bool(ages) and any(m.hold is Hold.SOFT for m in limits)
     return LimitsReport(
         max(0.0, over),
         begun,
--- a/lemonhall/config/settings.py
+++ b/lemonhall/config/settings.py
@@ -12,7 +12,7 @@
 from lemonhall.config.load import Loader, Tree, set_field
 from lemonhall.config.routing import Condition, Match, Pool, PoolServer, Route, Step
 from lemonhall.config.schema import SETTINGS, TERMS, Spec
-from lemonhall.limits.plan import PERIOD_MOST_MS, Plan
+from lemonhall.limits.plan import PERIOD_MOST_MS, Hold, Limit, Plan, Unit
 from lemonhall.problem import BadInput
 
 __all__ = ["BadInput"]
@@ -39,24 +39,6 @@
     per_s: float
 
 
-@dataclass(frozen=True)
-class FleetLimit:
-    """What all fronts together hold or begin at most. `amount`: sessions, kB a second, or thousandths of a
-    set-up a second, by `unit`. `partner`, `cls`, `hall`: -1: any. Times in ms."""
-
-    name: str
-    hold: str
-    unit: str
-    amount: int
-    partner: int = -1
-    cls: int = -1
-    hall: int = -1
-    each_title: bool = False
-    burst: float = 0.0
-    rise: float = 0.0
-    longest_ms: float = 0.0
-
-
 @dataclass(frozen=True)
 class SpillTimes:
     notice_ms: float = 3000.0
@@ -111,7 +93,7 @@
     takes_in: tuple[TakesIn, ...] = ()
     spilling: SpillTimes = SpillTimes()
     no_spill: frozenset[int] = frozenset()  # classes whose sessions stay in their hall
-    fleet_limits: tuple[FleetLimit, ...] = ()
+    fleet_limits: tuple[Limit, ...] = ()
     cross_cost: float = 0.0
 
 
@@ -433,7 +415,7 @@
     return [f'limit "{m.name}": {plan.bound(m)}' for m in plan.limits]
 
 
-def make_limit(node: Typed, names: dict[str, list[str]]) -> FleetLimit:
+def make_limit(node: Typed, names: dict[str, list[str]]) -> Limit:
     def place(kind: str) -> int:
         return names[kind].index(node[kind]) if node[kind] else -1
 
@@ -444,10 +426,10 @@
     }
     unit = next((name for name, amount in amounts.items() if amount), "sessions")
     keeps = node["on-silence"] == "keep" and node["hold"] == "exact"
-    return FleetLimit(
+    return Limit(
         node.name,
-        node["hold"],
-        unit,
+        Hold(node["hold"]),
+        Unit(unit),
         amounts[unit],
         place("partner"),
         place("class"),
--- a/lemonhall/limits/plan.py
+++ b/lemonhall/limits/plan.py
@@ -12,7 +12,7 @@
 from enum import StrEnum
 from functools import cached_property
 from hashlib import blake2b
-from typing import Any, Protocol
+from typing import Protocol
 
 from lemonhall import interface as i
 
@@ -79,7 +79,7 @@
     """What is read of the terms of the service."""
 
     @property
-    def fleet_limits(self) -> Sequence[Any]: ...
+    def fleet_limits(self) -> Sequence[Limit]: ...
     @property
     def classes(self) -> tuple[i.SessionClass, ...]: ...
     @property
@@ -97,22 +97,7 @@
 
     @classmethod
     def of(cls, terms: Terms, period_ms: float) -> Plan:
-        made = tuple(
-            Limit(
-                t.name,
-                Hold(t.hold),
-                Unit(t.unit),
-                t.amount,
-                t.partner,
-                t.cls,
-                t.hall,
-                t.each_title,
-                t.burst,
-                t.rise,
-                t.longest_ms,
-            )
-            for t in sorted(terms.fleet_limits, key=lambda t: t.name)
-        )
+        made = tuple(sorted(terms.fleet_limits, key=lambda limit: limit.name))
         return cls(made, terms.classes, terms.ladder_kb, min(PERIOD_MOST_MS, period_ms))
 
     def bound(self, limit: Limit) -> str:
--- a/tests/front/test_limits.py
+++ b/tests/front/test_limits.py
@@ -11,6 +11,10 @@
 from random import Random
 from typing import Any
 
+from click.testing import CliRunner
+
+from lemonhall.cli import group
+from lemonhall.cli.limits import line, of_fleet
 from lemonhall.config.day import read_day
 from lemonhall.day import play_day
 from lemonhall.front.deciding.limits import LimitsDesk
@@ -53,10 +57,10 @@
     clock = Clock()
     loop, found = Loop(lambda: clock.at / 1000), []
     lines = [Line(0), Line(1)]
-    for n, line in enumerate(lines):
+    for n, carrier in enumerate(lines):
         machine = Limits(made, n, 2, 0, 1, Random(n), clock.at)
         machine.escrow.members = (0, 1)
-        found.append(LimitsDesk(loop, machine, line, clock))
+        found.append(LimitsDesk(loop, machine, carrier, clock))
     lines[0].other, lines[1].other = found[1], found[0]
     for desk in found:
         desk.start()
@@ -216,3 +220,26 @@
     other, _, cseq = w.play("/browse/b")
     w.until(lambda: other.answers_to(cseq))
     assert other.answers_to(cseq) == [503]
+
+
+def test_the_life_of_a_refused_session_names_the_limit(world: Build, tmp_path: Path) -> None:
+    w = world(terms=TERMS + 'limit "one" class="browse-clip" sessions=1\n')
+    w.playing("/browse/a")
+    other, session, cseq = w.play("/browse/b")
+    w.until(lambda: other.answers_to(cseq))
+    path = tmp_path / "kept.lhc"
+    path.write_bytes(w.daemon.capture.save())
+    done = CliRunner().invoke(group, ["why", str(path), session.partition(";")[0]])
+    assert done.exit_code == 0 and "limit one: no room" in done.output, done.output
+
+
+def test_limits_are_shown_of_a_front_and_of_the_fleet() -> None:
+    loop, clock, (one, other) = desks(plan(exact(4)))
+    for ask in range(1, 12):
+        one.ask(ask, 0, 0, "/a", 99, "")
+        run(loop, clock, 0.5)
+    told = [json.loads(desk.page()[2]) for desk in (one, other)]
+    assert line(told[0]["limits"][0]).startswith("seats            exact  4 of 4 sessions used, 4 held")
+    (fleet,) = of_fleet(told)
+    assert (fleet["fronts"], fleet["used"], fleet["lent"], fleet["borrowed"]) == (2, 4, 2, 2)
+    loop.close()
