--- /dev/null
+++ b/lemonhall/front/process/beside.py
@@ -0,0 +1,201 @@
+"""The machines that stand beside the module at a front (the return, halls, limits): made, wired to their
+desks, and stopped together."""
+
+from __future__ import annotations
+
+from base64 import b64decode
+from collections import Counter
+from collections.abc import Callable
+from random import Random, SystemRandom
+from typing import Any, Protocol
+
+import structlog
+
+from lemonhall import interface as i
+from lemonhall.config.settings import FrontSettings
+from lemonhall.front.deciding.asks import Asks
+from lemonhall.front.deciding.bridge import Bridge
+from lemonhall.front.deciding.halls import HallsDesk
+from lemonhall.front.deciding.limits import LimitsDesk, clock_ms
+from lemonhall.front.deciding.listclient import ListClient
+from lemonhall.front.deciding.membership import Membership
+from lemonhall.front.deciding.returning import ReturnDesk, known, list_of, memory_of
+from lemonhall.front.keeping.capturing import Capturer
+from lemonhall.front.keeping.keeper import Keeper
+from lemonhall.halls import Halls, Plan
+from lemonhall.limits import Limits
+from lemonhall.limits import Plan as LimitsPlan
+from lemonhall.limits.plan import PERIOD_MOST_MS
+from lemonhall.loop import Loop
+from lemonhall.members.machine import View
+from lemonhall.recovery import Recovery, Waits
+
+log = structlog.get_logger("lemonhall.front")
+HEAR_S = 0.03  # a front that starts waits so long before its call for the list
+PAUSE_MS = 2000.0  # the longest advised while a front comes back, where the settings name none
+
+
+class Front(Protocol):
+    """The daemon, as far as these machines need it."""
+
+    settings: FrontSettings
+    loop: Loop
+    wall: Callable[[], float]
+    asks: Asks
+    bridge: Bridge
+    list: ListClient
+    counts: Counter[str]
+    membership: Membership | None
+    keeper: Keeper | None
+    capture: Capturer | None
+    taken: Any
+
+    def now_ms(self) -> float: ...
+    def memory(self) -> i.Memory | None: ...
+    def seen(self, view: View) -> None: ...
+
+
+class Beside:
+    def __init__(self, front: Front) -> None:
+        self.front = front
+
+    def open_return(self, anew: bool) -> None:
+        """The machine of recovery. `anew`: not in the place of a front that lives, so the list is the kept
+        one, and others are asked about the store before anything of its ledger is used."""
+        s, terms = self.front.settings, self.front.settings.terms
+        machine = Recovery(
+            self.front.now_ms(),
+            s.index,
+            s.fronts,
+            Random(SystemRandom().getrandbits(64)),
+            Waits(period=s.members.period_ms) if s.members else Waits(),
+            terms.max_pause_ms or PAUSE_MS,
+            (lambda: self.front.keeper.mark if self.front.keeper else None),
+            sum(t.quota_per_s for t in terms.tenants),
+            self.front.membership is not None,
+        )
+        desk = self.front.asks.returning = ReturnDesk(
+            self.front.loop,
+            self.front.now_ms,
+            machine,
+            self.front.membership,
+            self.front.keeper,
+            self.front.asks.let,
+            self.return_said,
+        )
+        if self.front.membership:
+            self.front.membership.on_view = self.front.seen
+        self.front.list.on_sign = lambda as_of: desk.sign(as_of, len(self.front.list.list.boxes))
+        self.front.list.wait_s = lambda: machine.list_wait_ms() / 1000
+        machine.giving.know = self.known
+        desk.on_handed = self.handed
+        if anew:
+            self.front.list.load_cache()
+            if not self.front.list.list.boxes:
+                desk.want()
+        if not s.list_url:
+            desk.sign(0.0, len(self.front.list.list.boxes))  # nothing is waited for
+        elif not (anew and s.members):
+            self.front.list.start()
+        else:  # by then whoever comes back as well has spoken
+            self.front.loop.call_later(HEAR_S, self.call_list)
+        if anew and s.members:
+            desk.vouch(s.members.period_ms)
+        desk.start()
+
+    def known(self) -> list[Any]:
+        return known(self.front.list.list, self.front.memory(), self.front.now_ms())
+
+    def handed(self, page: Any) -> None:
+        """What others knew counts as a kept list and a memory: each by its age, the loads as hearsay."""
+        if not self.front.list.take_over(list_of(page)):
+            return
+        memory = memory_of(page, self.front.memory(), self.front.now_ms())
+        if memory is not None:
+            self.front.bridge.tell(memory)
+        self.front.counts["handed_servers"] += len(page.entries)
+        loads = len(memory.servers) if memory else 0
+        log.info("list handed on by others", servers=len(page.entries), loads=loads)
+        self.return_said(f"others knew of {len(page.entries)} servers")
+
+    def return_said(self, words: str) -> None:
+        if self.front.capture:
+            self.front.capture.word(self.front.now_ms(), "return", words)
+
+    def call_list(self) -> None:
+        """Of fronts that are heard to come back together each in its time."""
+        self.front.loop.call_later(self.front.list.wait_s(), self.front.list.start)
+
+    def open_halls(self) -> None:
+        """The machine of halls, with what was kept of its parts; without a store it has to ask for them."""
+        kept = self.front.keeper.load_halls() if self.front.keeper else None
+        s, now = self.front.settings, self.front.now_ms()
+        machine = Halls(
+            Plan.of(s.terms),
+            s.index,
+            s.fronts,
+            s.hall,
+            int(self.front.wall() * 1000),
+            Random(s.seed),
+            now,
+            remembers=kept is not None,
+            kept=kept or b"",
+        )
+        halls = self.front.asks.halls = HallsDesk(
+            self.front.loop,
+            self.front.now_ms,
+            machine,
+            s.terms.cells,
+            self.front.wall,
+            self.front.membership,
+            self.front.keeper,
+            self.hall_said,
+        )
+        halls.on_move = self.front.asks.come_home
+        if self.front.membership:
+            self.front.membership.on_halls = halls.heard
+            halls.view(self.front.membership.machine.view())
+        halls.start()
+
+    def hall_said(self, words: str) -> None:
+        if self.front.capture:
+            self.front.capture.word(self.front.now_ms(), "halls", words)
+
+    def limits_plan(self) -> LimitsPlan:
+        s = self.front.settings
+        return LimitsPlan.of(s.terms, s.members.period_ms if s.members else PERIOD_MOST_MS)
+
+    def open_limits(self) -> None:
+        """The machine of the fleet's limits: as the process that is relieved had it, or as one that remembers
+        nothing. Where workers outlive a decider, sessions of the life before may stand."""
+        s, now = self.front.settings, clock_ms()
+        random = Random(SystemRandom().getrandbits(64))
+        life, fresh = int(self.front.wall() * 1000), s.workers == 0
+        machine = Limits(self.limits_plan(), s.index, s.fronts, s.hall, life, random, now, fresh)
+        if (
+            self.front.taken
+            and self.front.taken.message
+            and (state := self.front.taken.message.get("limits"))
+        ):
+            machine.take_over(now, b64decode(state))
+        desk = self.front.asks.limits = LimitsDesk(
+            self.front.loop, machine, self.front.membership, said=self.limit_said
+        )
+        desk.on_end = self.front.asks.end_session
+        if self.front.membership:
+            self.front.membership.on_limits = desk.heard
+            desk.view(self.front.membership.machine.view(), False)
+        desk.start()
+
+    def limit_said(self, words: str, ask: int) -> None:
+        if self.front.capture:
+            self.front.capture.word(self.front.now_ms(), "limits", words, ask)
+
+    def stop(self) -> None:
+        """Nothing more is said or written by this process."""
+        if self.front.asks.limits:
+            self.front.asks.limits.stop()
+        if self.front.asks.halls:
+            self.front.asks.halls.stop()
+        if self.front.asks.returning:
+            self.front.asks.returning.stop()
--- a/lemonhall/front/process/daemon.py
+++ b/lemonhall/front/process/daemon.py
@@ -9,7 +9,6 @@
 import socket
 import time
 import traceback
-from base64 import b64decode
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -25,39 +24,30 @@
 from lemonhall.front.deciding.asks import Asks
 from lemonhall.front.deciding.bridge import Bridge, Decider
 from lemonhall.front.deciding.claims import Claims
-from lemonhall.front.deciding.halls import HallsDesk
 from lemonhall.front.deciding.hooks import Hooks
-from lemonhall.front.deciding.limits import LimitsDesk, clock_ms
 from lemonhall.front.deciding.listclient import ListClient
 from lemonhall.front.deciding.membership import Membership, read_keys
 from lemonhall.front.deciding.peers import Peers
-from lemonhall.front.deciding.returning import ReturnDesk, known, list_of, memory_of
 from lemonhall.front.keeping.capturing import Capturer, header_of
 from lemonhall.front.keeping.keeper import Keeper
 from lemonhall.front.keeping.record import Recorder
+from lemonhall.front.process.beside import Beside
 from lemonhall.front.process.builder import Builder
 from lemonhall.front.process.local import Queue
 from lemonhall.front.process.shown import Shown
 from lemonhall.front.servers.catalogue import Call
 from lemonhall.front.viewers.worker import STOP_S, Worker
-from lemonhall.halls import Halls, Plan
 from lemonhall.interface import Outcome
-from lemonhall.limits import Limits
-from lemonhall.limits import Plan as LimitsPlan
-from lemonhall.limits.plan import PERIOD_MOST_MS
 from lemonhall.loop import Loop, listen
 from lemonhall.loop.core import READ
 from lemonhall.loop.stream import accept_on
 from lemonhall.members import Config
 from lemonhall.members.machine import View
 from lemonhall.problem import BadInput
-from lemonhall.recovery import Recovery, Waits
 from lemonhall.seam import VERSION, Message, Redirect, Retire, Stored, Welcome
 
 log = structlog.get_logger("lemonhall.front")
 LOOK_BACK_S = 0.5
-HEAR_S = 0.03  # a front that starts waits so long before its call for the list
-PAUSE_MS = 2000.0  # the longest advised while a front comes back, where the settings name none
 
 
 def load_module(path: str) -> Callable[[i.Settings, int], Decider]:
@@ -172,6 +162,7 @@
         self.host = ""
         self.capture: Capturer | None = None
         self.shown = Shown(self)
+        self.beside = Beside(self)
         self.asks.on_took = self.shown.set_up_took
         self.bridge.carry_out.update(
             {
@@ -226,9 +217,9 @@
             for change in changes:
                 self.capture.word(self.now_ms(), "settings", change.what)
         if self.asks.limits:
-            self.asks.limits.settle(self.limits_plan())
+            self.asks.limits.settle(self.beside.limits_plan())
         elif new.terms.fleet_limits:
-            self.open_limits()
+            self.beside.open_limits()
         self.hooks.resettle(new)
 
     def keep_settings(self, problems: list[str]) -> None:
@@ -270,7 +261,7 @@
                 s.members.via,
             )
         anew = taken.message is None
-        self.open_return(anew)
+        self.beside.open_return(anew)
         self.hooks.start()
         if taken.viewers is None:
             viewers = listen(self.loop, s.listen, self.worker.accept, share=s.share_port)
@@ -289,9 +280,9 @@
         if self.membership:
             self.membership.on_claim = self.asks.claims.heard
         if s.terms.spills:
-            self.open_halls()
+            self.beside.open_halls()
         if s.terms.fleet_limits:
-            self.open_limits()
+            self.beside.open_limits()
         if s.record:
             self.asks.recorder = Recorder(Path(s.record), s, self.loop.now() * 1000)
         if self.keeper:
@@ -310,131 +301,6 @@
         log.info("serving", at=self.host, front=s.name, index=s.index, fronts=s.fronts, status=shown)
         return (at, 0) if isinstance(at, str) else (at[0], at[1])
 
-    def open_return(self, anew: bool) -> None:
-        """The machine of recovery. `anew`: not in the place of a front that lives, so the list is the kept
-        one, and others are asked about the store before anything of its ledger is used."""
-        s, terms = self.settings, self.settings.terms
-        machine = Recovery(
-            self.now_ms(),
-            s.index,
-            s.fronts,
-            Random(SystemRandom().getrandbits(64)),
-            Waits(period=s.members.period_ms) if s.members else Waits(),
-            terms.max_pause_ms or PAUSE_MS,
-            (lambda: self.keeper.mark if self.keeper else None),
-            sum(t.quota_per_s for t in terms.tenants),
-            self.membership is not None,
-        )
-        desk = self.asks.returning = ReturnDesk(
-            self.loop, self.now_ms, machine, self.membership, self.keeper, self.asks.let, self.return_said
-        )
-        if self.membership:
-            self.membership.on_view = self.seen
-        self.list.on_sign = lambda as_of: desk.sign(as_of, len(self.list.list.boxes))
-        self.list.wait_s = lambda: machine.list_wait_ms() / 1000
-        machine.giving.know = self.known
-        desk.on_handed = self.handed
-        if anew:
-            self.list.load_cache()
-            if not self.list.list.boxes:
-                desk.want()
-        if not s.list_url:
-            desk.sign(0.0, len(self.list.list.boxes))  # nothing is waited for
-        elif not (anew and s.members):
-            self.list.start()
-        else:  # by then whoever comes back as well has spoken
-            self.loop.call_later(HEAR_S, self.call_list)
-        if anew and s.members:
-            desk.vouch(s.members.period_ms)
-        desk.start()
-
-    def known(self) -> list[Any]:
-        return known(self.list.list, self.memory(), self.now_ms())
-
-    def handed(self, page: Any) -> None:
-        """What others knew counts as a kept list and a memory: each by its age, the loads as hearsay."""
-        if not self.list.take_over(list_of(page)):
-            return
-        memory = memory_of(page, self.memory(), self.now_ms())
-        if memory is not None:
-            self.bridge.tell(memory)
-        self.counts["handed_servers"] += len(page.entries)
-        loads = len(memory.servers) if memory else 0
-        log.info("list handed on by others", servers=len(page.entries), loads=loads)
-        self.return_said(f"others knew of {len(page.entries)} servers")
-
-    def return_said(self, words: str) -> None:
-        if self.capture:
-            self.capture.word(self.now_ms(), "return", words)
-
-    def open_halls(self) -> None:
-        """The machine of halls, with what was kept of its parts; without a store it has to ask for them."""
-        kept = self.keeper.load_halls() if self.keeper else None
-        s, now = self.settings, self.now_ms()
-        machine = Halls(
-            Plan.of(s.terms),
-            s.index,
-            s.fronts,
-            s.hall,
-            int(self.wall() * 1000),
-            Random(s.seed),
-            now,
-            remembers=kept is not None,
-            kept=kept or b"",
-        )
-        halls = self.asks.halls = HallsDesk(
-            self.loop,
-            self.now_ms,
-            machine,
-            s.terms.cells,
-            self.wall,
-            self.membership,
-            self.keeper,
-            self.hall_said,
-        )
-        halls.on_move = self.asks.come_home
-        if self.membership:
-            self.membership.on_halls = halls.heard
-            halls.view(self.membership.machine.view())
-        halls.start()
-
-    def limits_plan(self) -> LimitsPlan:
-        s = self.settings
-        return LimitsPlan.of(s.terms, s.members.period_ms if s.members else PERIOD_MOST_MS)
-
-    def open_limits(self) -> None:
-        """The machine of the fleet's limits: as the process that is relieved had it, or as one that remembers
-        nothing. Where workers outlive a decider, sessions of the life before may stand."""
-        s, now = self.settings, clock_ms()
-        random = Random(SystemRandom().getrandbits(64))
-        life, fresh = int(self.wall() * 1000), s.workers == 0
-        machine = Limits(self.limits_plan(), s.index, s.fronts, s.hall, life, random, now, fresh)
-        if self.taken and self.taken.message and (state := self.taken.message.get("limits")):
-            machine.take_over(now, b64decode(state))
-        desk = self.asks.limits = LimitsDesk(self.loop, machine, self.membership, said=self.limit_said)
-        desk.on_end = self.asks.end_session
-        if self.membership:
-            self.membership.on_limits = desk.heard
-            desk.view(self.membership.machine.view(), False)
-        desk.start()
-
-    def limit_said(self, words: str, ask: int) -> None:
-        if self.capture:
-            self.capture.word(self.now_ms(), "limits", words, ask)
-
-    def stop_halls(self) -> None:
-        """Nothing more is said or written by this process."""
-        if self.asks.limits:
-            self.asks.limits.stop()
-        if self.asks.halls:
-            self.asks.halls.stop()
-        if self.asks.returning:
-            self.asks.returning.stop()
-
-    def hall_said(self, words: str) -> None:
-        if self.capture:
-            self.capture.word(self.now_ms(), "halls", words)
-
     def tell_list(self, event: i.Event) -> None:
         """What the list client tells the module goes to the machine of halls as well."""
         self.bridge.tell(event)
@@ -442,10 +308,6 @@
             fresh = event.kind != i.ListKind.CACHED
             self.asks.halls.listed(self.list.list.servers(), fresh)
 
-    def call_list(self) -> None:
-        """Of fronts that are heard to come back together each in its time."""
-        self.loop.call_later(self.list.wait_s(), self.list.start)
-
     def open_guard(self) -> None:
         """Where a front can be relieved, its class says how."""
 
@@ -505,7 +367,7 @@
             self.loop.watch(sock, 0, self.worker.accept)
         if self.membership:
             self.membership.pause()
-        self.stop_halls()
+        self.beside.stop()
         if self.peers:
             self.loop.watch(self.peers.sock, 0, self.peers.on_ready)
 
@@ -527,7 +389,7 @@
     def leave_front(self) -> None:
         """All has been handed over: this process goes, without a word to viewers, servers or other fronts."""
         self.stopping = True
-        self.stop_halls()
+        self.beside.stop()
         self.list.wanted = False
         if self.list.stream:
             self.list.stream.abort()
@@ -623,7 +485,7 @@
     def leave(self) -> None:
         """Another decider is about to take over, with the same workers: goes without a word to anybody."""
         self.stopping = True
-        self.stop_halls()
+        self.beside.stop()
         self.list.wanted = False
         self.builder.stop()
         if self.asks.recorder:
@@ -674,7 +536,7 @@
 
     def end(self) -> None:
         """The last: what the store and the capture still have to write is written."""
-        self.stop_halls()
+        self.beside.stop()
         if self.workers:
             self.workers.close()
         if self.capture:
