Review, case 1: after a long quiet time all fronts together push a cold box over

Cause: the arrival rate that shares the turns at a cold server is spread over the whole quiet time, so every front takes every turn.

--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import os
+import resource
 import signal
 import socket
 import struct
@@ -198,6 +199,7 @@
     title: str
     link: ServerLink
     since: float
+    rung: int = 0
 
 
 @dataclass(eq=False)
@@ -229,6 +231,7 @@
         set_up_s: float = 0.08,
         life_s: float = 60.0,
         note_s: float = 2.5,
+        site: Site | None = None,
     ) -> None:
         self.record, self.id, self.cell, self.zone, self.kind = (
             record,
@@ -238,7 +241,8 @@
             kind,
         )
         self.set_up_s, self.life_s, self.note_s = set_up_s, life_s, note_s
-        self.state = "up"
+        self.site = site  # where it is given, reports tell what the sessions ask of the link
+        self.state, self.started_ms = "up", 0
         self.port = self.listed_port = 0
         self.links: list[ServerLink] = []
         self.numbers = itertools.count(1)
@@ -250,10 +254,30 @@
         self.listener: asyncio.Server | None = None
 
     async def start(self) -> None:
-        self.listener = await asyncio.start_server(self.serve, HOST, 0, limit=1 << 20)
+        self.listener = await asyncio.start_server(self.serve, HOST, self.port, limit=1 << 20, backlog=1024)
         self.port = self.listener.sockets[0].getsockname()[1]
         self.listed_port = self.listed_port or self.port
-        self.schedule_note()
+        if not self.started_ms:
+            self.schedule_note()
+
+    def crash(self) -> None:
+        """The process dies: it resets its connections, its sessions are over, and it accepts nothing more."""
+        assert self.listener
+        self.listener.close()
+        self.sessions.clear()
+        self.unsent_releases.clear()
+        for link in list(self.links):
+            for timer in link.waiting.values():
+                if timer:
+                    timer.cancel()
+            link.waiting.clear()
+            link.open = False
+            reset(link.writer)
+
+    async def start_again(self) -> None:
+        """At the same address and id, cold."""
+        self.started_ms = int(time.time() * 1000)
+        await self.start()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         link = ServerLink(next(self.numbers), writer)
@@ -295,12 +319,19 @@
                 "server-set-up", server=self.id, ref=ref, cls=f["class"], title=f["key"], rung=f.get("rung")
             )
             self.set_ups.append((at, ref))
-            if self.refuses:
+            full = (
+                self.site
+                and self.site.specifics["fullFrom"]
+                and self.load() >= self.site.specifics["fullFrom"]
+            )
+            if self.refuses or full:
                 self.record.write("server-full", server=self.id, ref=ref)
-                link.send({"t": "down", "ref": ref, "f": {}, "c": 34})
+                link.send({"t": "down", "ref": ref, "f": self.report(), "c": 34})
                 return
             loop = asyncio.get_running_loop()
             link.waiting[ref] = loop.call_later(self.set_up_s, self.answer, link, message)
+        elif kind == "step" and ref in self.sessions:
+            self.sessions[ref].rung = int(message["f"]["rung"])
         elif kind == "down":
             if ref in link.waiting:
                 if timer := link.waiting.pop(ref):
@@ -312,14 +343,28 @@
     def answer(self, link: ServerLink, message: dict[str, Any]) -> None:
         ref = message["ref"]
         link.waiting.pop(ref, None)
-        load = {"load": "x0:0.3;x1:0.3"}
-        if not link.send({"t": "up", "ref": ref, "f": load, "d": f"v=0\r\ns={ref} at {self.id}\r\n"}):
-            return
         f = message["f"]
-        self.sessions[ref] = Standing(ref, f["class"], f["key"], link, self.record.now())
+        standing = Standing(ref, f["class"], f["key"], link, self.record.now(), int(f.get("rung", 0)))
+        self.sessions[ref] = standing
+        up = {"t": "up", "ref": ref, "f": self.report(), "d": f"v=0\r\ns={ref} at {self.id}\r\n"}
+        if not link.send(up):
+            del self.sessions[ref]
+            return
         self.record.write("server-answer", server=self.id, ref=ref)
         asyncio.get_running_loop().call_later(self.life_s, self.end, ref)
 
+    def load(self) -> float:
+        """What is asked of its link over what the link gives."""
+        if not self.site:
+            return 0.3
+        rates = self.site.specifics["ratesKb"]
+        asked: float = sum(rates[session.rung] for session in self.sessions.values())
+        return asked / float(self.site.specifics["kbPerWeight"])
+
+    def report(self) -> dict[str, str]:
+        load = f"{self.load():.2f}"
+        return {"load": f"x0:{load};x1:{load}"}
+
     def end(self, ref: str) -> None:
         if standing := self.sessions.pop(ref, None):
             self.record.write("server-session-over", server=self.id, ref=ref)
@@ -335,10 +380,11 @@
         return False
 
     def send_note(self) -> None:
-        """How full the link is, on one session of the front."""
+        """How full the link is, on one session of each front."""
         self.schedule_note()
-        if standing := next(iter(self.sessions.values()), None):
-            said = self.say(standing, {"t": "tell", "ref": standing.ref, "f": {"note": "l", "value": "0.3"}})
+        load = f"{self.load():.2f}"
+        for standing in {id(session.link): session for session in self.sessions.values()}.values():
+            said = self.say(standing, {"t": "tell", "ref": standing.ref, "f": {"note": "l", "value": load}})
             self.record.write(
                 "server-note" if said else "server-note-unsent", server=self.id, ref=standing.ref
             )
@@ -411,6 +457,7 @@
         self.number = 1
         self.told: dict[int, float] = {1: 0.0}  # when the first answer that holds an event was sent
         self.questions = self.answers = 0
+        self.made_for, self.made = 0, b""
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -427,6 +474,19 @@
         asyncio.get_running_loop().call_later(self.delay_s, self.answer, data, peer)
 
     def answer(self, query: bytes, peer: Any) -> None:
+        self.transport.sendto(query[:2] + self.rest_of_answer(), peer)
+        self.answers += 1
+        at = self.record.now()
+        for number in range(1, self.number + 1):
+            if number not in self.told:
+                self.told[number] = self.record.write("list-told", number=number)
+        if self.delay_s:
+            self.record.write("list-answer", number=self.number, after=self.delay_s, at=f"{at:.3f}")
+
+    def rest_of_answer(self) -> bytes:
+        """All of an answer but its number; made once for each event."""
+        if self.made_for == self.number:
+            return self.made
         listed = [server for server in self.servers if server.state != "removed"]
         question = dns_name(SERVICE) + struct.pack(">HH", 33, 1)
         answers, more = b"", b""
@@ -437,19 +497,13 @@
                 dns_name(SERVICE), 33, struct.pack(">HHH", priority, 10, server.listed_port) + host
             )
             more += dns_record(host, 1, socket.inet_aton(HOST))
-            texts = [f"kind={server.kind}", f"cell={server.cell}", "started=0"]
+            texts = [f"kind={server.kind}", f"cell={server.cell}", f"started={server.started_ms}"]
             more += dns_record(host, 16, b"".join(bytes([len(t)]) + t.encode() for t in texts))
         numbers = struct.pack(">IIIII", self.number, 1, 1, 1, 1)
         soa = dns_record(dns_name("cluster.lan"), 6, dns_name("ns.cluster.lan") * 2 + numbers)
-        head = query[:2] + struct.pack(">HHHHH", 0x8400, 1, len(listed), 1, 2 * len(listed))
-        self.transport.sendto(head + question + answers + soa + more, peer)
-        self.answers += 1
-        at = self.record.now()
-        for number in range(1, self.number + 1):
-            if number not in self.told:
-                self.told[number] = self.record.write("list-told", number=number)
-        if self.delay_s:
-            self.record.write("list-answer", number=self.number, after=self.delay_s, at=f"{at:.3f}")
+        head = struct.pack(">HHHHH", 0x8400, 1, len(listed), 1, 2 * len(listed))
+        self.made_for, self.made = self.number, head + question + answers + soa + more
+        return self.made
 
     def error_received(self, exc: Exception) -> None:
         pass  # the front node has closed the port from which it asked
@@ -533,9 +587,16 @@
     """One front node, started by the `run` line of the deploy file."""
 
     def __init__(
-        self, record: Record, folder: Path, site: Site, servers: list[MediaServer], resolver: Resolver
+        self,
+        record: Record,
+        folder: Path,
+        site: Site,
+        servers: list[MediaServer],
+        resolver: Resolver,
+        index: int = 0,
+        fronts: int = 1,
     ) -> None:
-        self.record, self.folder = record, folder
+        self.record, self.folder, self.name = record, folder, f"n{index}"
         with socket.socket() as probe:
             probe.bind((HOST, 0))
             self.port = probe.getsockname()[1]
@@ -554,22 +615,22 @@
         ]
         fleet = {"version": 1, "full": True, "servers": entries}
         self.config = {
-            "name": "n0",
+            "name": self.name,
             "listen": f"{HOST}:{self.port}",
-            "seed": "8c1f30d27a5be964",
+            "seed": f"{0x8C1F30D27A5BE964 + index:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "peers": [],
             "dns": f"{HOST}:{resolver.port}",
             "known": {"seq": 1, "results": [{"seq": 1, "fleet": fleet}]},
-            "settings": site.settings(),
+            "settings": site.settings() | {"replicasOfMe": fronts, "selfIndex": index},
         }
         self.child: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
-        path = self.folder / "config.json"
+        path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(self.config), encoding="utf-8")
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["run"]
-        self.log_path = self.folder / "log"
+        self.log_path = self.folder / f"{self.name}.log"
         with self.log_path.open("wb") as log:
             self.child = await asyncio.create_subprocess_exec(
                 "/bin/sh",
@@ -595,6 +656,11 @@
         probe.writer.close()
         self.record.write("front-node-ready")
 
+    async def kill(self) -> None:
+        if self.child and self.child.returncode is None:
+            self.child.kill()
+            await self.child.wait()
+
     async def stop(self) -> None:
         if self.child and self.child.returncode is None:
             self.child.send_signal(signal.SIGTERM)
@@ -620,6 +686,8 @@
 
 def run_case(case: Case) -> None:
     """Runs a case within its time. Exit: 1 the rule was broken, 0 it held, 2 the case could not run."""
+    files = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (files[1], files[1]))
     record = Record(Path(sys.argv[0]).resolve().parent / "record.txt")
     record.write("start", trouble=int(trouble()))
 
@@ -629,7 +697,7 @@
 
     try:
         status = asyncio.run(limited())
-    except BaseException:
+    except Exception:
         for line in traceback.format_exc().splitlines():
             record.write("could-not-run", line=line)
         status = NOT_RUN
