Review, case 3: the set-ups of a deaf front also reach the box that follows the gone one

Cause: the case showed set-ups to a draining box, which turns them away; what they can harm was not shown. Change: after the drain a new box takes the address of the gone one, and set-ups for clips that it does not hold count.

--- a/review/standins.py
+++ b/review/standins.py
@@ -242,6 +242,8 @@
         )
         self.set_up_s, self.life_s, self.note_s = set_up_s, life_s, note_s
         self.site = site  # where it is given, reports tell what the sessions ask of the link
+        self.holds: Callable[[int], bool] = lambda title: True
+        self.not_held: list[tuple[float, str]] = []  # set-ups of titles that it does not hold: when, which
         self.state, self.started_ms = "up", 0
         self.port = self.listed_port = 0
         self.links: list[ServerLink] = []
@@ -328,6 +330,11 @@
                 self.record.write("server-full", server=self.id, ref=ref)
                 link.send({"t": "down", "ref": ref, "f": self.report(), "c": 34})
                 return
+            if not self.holds(int(f["key"], 16)):
+                self.record.write("server-does-not-hold", server=self.id, ref=ref, title=f["key"])
+                self.not_held.append((at, ref))
+                link.send({"t": "down", "ref": ref, "f": self.report(), "c": 47})
+                return
             loop = asyncio.get_running_loop()
             link.waiting[ref] = loop.call_later(self.set_up_s, self.answer, link, message)
         elif kind == "step" and ref in self.sessions:
