The log of lost sessions names the evidence; notes on unknown sessions are counted

Change: each finding has its own reason and counter, the event tells how long ago the last message, reset, connection and failed connect were, and notes on unknown sessions are counted.

--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -21,6 +21,10 @@
 REPEATED_DOWN = "repeated down"  # kind of a release that is sent for the second and last time
 
 
+def age_s(now: float, then: float) -> float | None:
+    return None if then == NEVER else round(now - then, 3)
+
+
 class ServerConnection(Handler):
     """One connection to a media server."""
 
@@ -271,8 +275,18 @@
             if session.attempt is None or session.attempt.started_at < before
         ]
         if lost:
-            self.owner.counts[f"lost_{reason}"] += len(lost)
-            self.owner.log_event("sessions lost", server=self.id, why=reason, sessions=len(lost))
+            now = self.owner.loop.now()
+            self.owner.counts[f"lost_{reason.split()[0]}"] += len(lost)
+            self.owner.log_event(
+                "sessions lost",
+                server=self.id,
+                why=reason,
+                sessions=len(lost),
+                message_age_s=age_s(now, self.last_message_at),
+                reset_age_s=age_s(now, self.sessions_at_risk_since),
+                connected_age_s=age_s(now, self.connected_at),
+                connect_failed_age_s=age_s(now, self.connect_failed_at),
+            )
         for session in lost:
             self.owner.on_session_lost(session)
         if not self.established_sessions:
@@ -365,13 +379,13 @@
         # a new one came up, another process may have taken the address: without a message that is treated
         # the same. A server that was never listed has no address, so the end of a session that was handed
         # over there would never be reported.
-        gone = (
-            self.connect_failed_at > self.connected_at
-            or self.last_message_at < self.sessions_at_risk_since
-            or not self.address[1]
-        )
-        if silence_s > bounds.SERVER_LOST_AFTER_S and gone:
-            self.lose_sessions("silent")
+        if silence_s > bounds.SERVER_LOST_AFTER_S:
+            if not self.address[1]:
+                self.lose_sessions("unlisted")
+            elif self.connect_failed_at > self.connected_at:
+                self.lose_sessions("unreachable")
+            elif self.last_message_at < self.sessions_at_risk_since:
+                self.lose_sessions("silent after a reset")
 
 
 class MediaServers:
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -305,6 +305,7 @@
     def on_server_note(self, connection: ServerConnection, note: Note) -> None:
         session = self.by_ref.get(note.ref)
         if session is None or not session.established or session.attempt is None:
+            self.counts["note_unknown"] += 1
             return
         if session.attempt.server is not connection.server:
             return
