Silence ends sessions only if a message could have come since the sessions surely stood

Change: front/node/liveness.py holds the evidence of a server and the rule. After a reset the wait runs from the reset, is not begun anew by later ones, and a new connection is opened at once. The same cause elsewhere: where no regular note is due in time a reset proves nothing (each one ended all sessions); a failed connect counts from the last sign of life, not from the last message (one failed connect ended silent sessions); a reset while another connection is being opened counts as one of the last connection (it did not). Why it works: up to the reset the sessions stood, so what is over is still told within 8 s, 6.5 s after it, and a server that goes on sends its next note within 5.5 s or its silence is not counted.

--- /dev/null
+++ b/lemonhall/front/node/liveness.py
@@ -0,0 +1,104 @@
+"""Tells from what a media server shows whether it still holds this front's established sessions.
+
+A session that stands has to go on, and the viewer of one that is over has to hear of it within 8 s, also if
+the server cannot say so. Silence is measured from the last moment at which the sessions are known to have
+stood, and it counts only if a message could have arrived since then.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from lemonhall.node import bounds
+
+NEVER = float("-inf")
+
+
+class LossReason(Enum):
+    """Why sessions of a server are over."""
+
+    REFUSED = "refused"  # its connection was reset, and no process listens any more
+    RESTARTED = "restarted"  # the list tells a later start
+    GONE = "gone"  # the list does not have it any more
+    UNREACHABLE = "unreachable"  # it shows no sign of life, and no connection comes up
+    SILENT = "silent"  # its last connection was reset, and no message on a session came since
+    UNLISTED = "unlisted"  # the list has never told its address, so it cannot report the end of a session
+
+
+@dataclass(frozen=True)
+class NoteSchedule:
+    """How often a server that has sessions of this front sends a note on one of them; 0: no regular notes."""
+
+    interval_s: float
+    delay_s: float
+
+
+class Liveness:
+    """What one server has shown. Times are seconds of the loop's clock."""
+
+    def __init__(self, notes: NoteSchedule) -> None:
+        # A server whose notes come less often could not show in time that it goes on after a reset.
+        self.silence_counts = 0 < notes.interval_s <= bounds.MAX_NOTE_INTERVAL_S
+        self.probe_after_s = max(
+            bounds.MIN_SILENCE_S,
+            min(1.5 * notes.interval_s + notes.delay_s, bounds.SERVER_LOST_AFTER_S - 1.5),
+        )
+        self.last_message_at = NEVER  # on an established session, or when the first session was established
+        self.last_sign_of_life_at = NEVER  # any data, a connection that came up or that the server ended
+        self.connected_at = self.connect_failed_at = NEVER
+        # The last connection was reset then, and no message on a session has arrived since.
+        self.reset_at: float | None = None
+
+    def on_message(self, now: float) -> None:
+        """A message on an established session: the server holds its sessions."""
+        self.last_message_at = self.last_sign_of_life_at = now
+        self.reset_at = None
+
+    def on_sign_of_life(self, now: float) -> None:
+        """The machine is there; whether it still holds the sessions is open."""
+        self.last_sign_of_life_at = now
+
+    def on_connected(self, now: float) -> None:
+        self.connected_at = self.last_sign_of_life_at = now
+
+    def on_connect_failed(self, now: float) -> None:
+        self.connect_failed_at = now
+
+    def on_last_connection_reset(self, now: float) -> None:
+        """The process may have ended at this moment. Later resets do not postpone the decision."""
+        if self.reset_at is None:
+            self.reset_at = now
+
+    def is_probe_due(self, now: float) -> bool:
+        """Whether a new connection should show that the machine is alive."""
+        return max(self.last_message_at, self.connected_at) < now - self.probe_after_s
+
+    def presumed_loss(self, now: float, has_address: bool) -> LossReason | None:
+        """Why the sessions have to be taken for over, if so.
+
+        A machine that vanished sends nothing and accepts no connection. If the connections were reset and
+        only a new one came up, another process may have taken the address: it knows none of the sessions.
+        """
+        latest = now - bounds.SERVER_LOST_AFTER_S
+        if not has_address:
+            return LossReason.UNLISTED if self.last_message_at < latest else None
+        if self.connect_failed_at > self.connected_at and self.last_sign_of_life_at < latest:
+            return LossReason.UNREACHABLE
+        if self.silence_counts and self.reset_at is not None and self.reset_at < latest:
+            return LossReason.SILENT
+        return None
+
+    def describe(self, now: float) -> dict[str, float | None]:
+        """Ages in seconds for the log."""
+        moments = {
+            "message_age_s": self.last_message_at,
+            "sign_of_life_age_s": self.last_sign_of_life_at,
+            "reset_age_s": self.reset_at,
+            "connected_age_s": self.connected_at,
+            "connect_failed_age_s": self.connect_failed_at,
+        }
+        return {
+            name: None if moment in (None, NEVER) else round(now - moment, 3)
+            for name, moment in moments.items()
+        }
--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -14,6 +14,7 @@
 from lemonhall import interface
 from lemonhall.decide import Front
 from lemonhall.front.decider.bridge import Bridge
+from lemonhall.front.node.liveness import LossReason, NoteSchedule
 from lemonhall.front.node.log import log
 from lemonhall.front.node.resolver import Resolver
 from lemonhall.front.node.servers import MediaServers
@@ -43,14 +44,13 @@
         clock_offset_s = self.clock_offset_s = time.time() - loop.now()
         self.bridge = Bridge(Front(settings, config.seed), lambda: (loop.now() + clock_offset_s) * 1000)
         self.bridge.action_handlers[interface.SetTimer] = self.set_timer
-        max_note_interval_s = (settings.reports_every_ms * 1.5 + settings.report_delay_ms) / 1000
         self.servers = MediaServers(
             loop,
             config.names,
             config.set_ups_per_connection,
             config.idle_timeout_s,
             config.connect_timeout_s,
-            max_note_interval_s,
+            NoteSchedule(config.note_interval_s, settings.report_delay_ms / 1000),
             int(config.max_descriptors * bounds.SERVER_DESCRIPTORS_SHARE),
             self.counts,
             log.emit,
@@ -142,7 +142,7 @@
             if restarted:
                 # A new process: the sessions of the previous one are over. Sessions set up since its start
                 # are its own, because a connection may reach it before the list reports it.
-                server.lose_sessions("restarted", entry.started_ms / 1000 - self.clock_offset_s)
+                server.lose_sessions(LossReason.RESTARTED, entry.started_ms / 1000 - self.clock_offset_s)
             if server.established_sessions and (moved or not server.connections):
                 server.open_connection()
             state = interface.ServerState.DRAINING if entry.draining else interface.ServerState.READY
@@ -158,7 +158,7 @@
         for entry in removed:
             server = self.servers.get_or_add(entry.id)
             server.listed = False
-            server.lose_sessions("gone")
+            server.lose_sessions(LossReason.GONE)
             self.servers.remove_if_unused(server)
 
     def make_server(self, entry: ListedServer, number: int, state: interface.ServerState) -> interface.Server:
--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -9,6 +9,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 
+from lemonhall.front.node.liveness import NEVER, Liveness, LossReason, NoteSchedule
 from lemonhall.front.node.session import Attempt, Session
 from lemonhall.interface import Outcome
 from lemonhall.loop import Handler, Loop, Stream
@@ -17,14 +18,9 @@
 from lemonhall.node.line_reader import LineReader, LineTooLong
 from lemonhall.node.messages import Down, MessageError, Note, SettingsNames, Up
 
-NEVER = float("-inf")
 REPEATED_DOWN = "repeated down"  # kind of a release that is sent for the second and last time
 
 
-def age_s(now: float, then: float) -> float | None:
-    return None if then == NEVER else round(now - then, 3)
-
-
 class ServerConnection(Handler):
     """One connection to a media server."""
 
@@ -58,6 +54,7 @@
     def on_data(self, view: memoryview) -> None:
         owner = self.server.owner
         self.last_used_at = owner.loop.now()
+        self.server.liveness.on_sign_of_life(self.last_used_at)
         self.line_reader.feed(view)
         try:
             while self.stream.open and (line := self.line_reader.next_line()) is not None:
@@ -78,6 +75,10 @@
     def on_closed(self, reason: str) -> None:
         self.server.on_connection_closed(self, reason)
 
+    @property
+    def takes_commands(self) -> bool:
+        return self.connected and self.stream.open and not self.stream.closing
+
     def send(self, line: bytes) -> None:
         self.last_used_at = self.server.owner.loop.now()
         self.stream.write(line)
@@ -122,11 +123,17 @@
         self.pending_commands: dict[tuple[str, str], bytes] = {}
         self.established_sessions: dict[str, Session] = {}
         self.command_queued_at = NEVER  # the last time that a command found no connection
-        self.last_message_at = NEVER  # on an established session, or when the first session was established
-        self.connected_at = NEVER
-        self.sessions_at_risk_since = NEVER  # the last connection was reset while sessions were established
+        self.liveness = Liveness(owner.notes)
         self.last_connection_reset = False  # the last connection that had been up was reset
-        self.connect_started_at = self.connect_failed_at = NEVER
+        self.connect_started_at = NEVER
+
+    @property
+    def is_connecting(self) -> bool:
+        return any(not connection.connected for connection in self.connections)
+
+    @property
+    def is_connected(self) -> bool:
+        return any(connection.connected for connection in self.connections)
 
     def submit_attempt(self, attempt: Attempt) -> None:
         """Sends the set-up on a connection that has room, or queues it for a new one."""
@@ -164,11 +171,7 @@
 
     def open_connection(self) -> None:
         """Opens one connection at a time, until the waiting attempts have enough."""
-        if (
-            any(not connection.connected for connection in self.connections)
-            or not self.address[1]
-            or self.owner.shutting_down
-        ):
+        if self.is_connecting or not self.address[1] or self.owner.shutting_down:
             return
         self.connect_started_at = self.owner.loop.now()
         if not self.owner.make_room_for_connection():
@@ -185,7 +188,7 @@
             self.owner.loop.call_soon(self.fail_waiting_attempts)
 
     def on_connection_up(self, connection: ServerConnection) -> None:
-        self.connected_at = self.owner.loop.now()
+        self.liveness.on_connected(self.owner.loop.now())
         commands, self.pending_commands = self.pending_commands, {}
         for (ref, kind), line in commands.items():
             connection.send_command(ref, kind, line)
@@ -216,22 +219,20 @@
                 connection.stream.abort()
 
     def on_connection_closed(self, connection: ServerConnection, reason: str) -> None:
-        owner = self.owner
+        owner, now = self.owner, self.owner.loop.now()
         if connection in self.connections:
             self.connections.remove(connection)
         never_connected = not connection.connected
+        ended_by_server = not never_connected and reason in ("reset", "eof")
+        owner.counts[f"link_{reason}{'_new' if never_connected else ''}"] += 1
         if not never_connected:
             self.last_connection_reset = reason == "reset"
-        owner.counts[f"link_{reason}{'_new' if never_connected else ''}"] += 1
-        if (
-            self.established_sessions
-            and not self.connections
-            and not never_connected
-            and self.last_connection_reset
-        ):
-            self.sessions_at_risk_since = owner.loop.now()
+            if ended_by_server:
+                self.liveness.on_sign_of_life(now)
+            if self.last_connection_reset and self.established_sessions and not self.is_connected:
+                self.liveness.on_last_connection_reset(now)
         for sent_at, ref, line in connection.recent_releases:
-            if owner.loop.now() - sent_at < bounds.RESEND_WINDOW_S:
+            if now - sent_at < bounds.RESEND_WINDOW_S:
                 self.send_command(ref, REPEATED_DOWN, line)
         connection.recent_releases.clear()
         for attempt in list(connection.open_attempts.values()):
@@ -244,22 +245,32 @@
                 owner.on_attempt_ended(attempt, outcome, ())
         connection.open_attempts.clear()
         if never_connected and reason != "local":
-            self.connect_failed_at = owner.loop.now()
+            self.liveness.on_connect_failed(now)
             self.send_waiting_attempts()
             if not any(other.connected and other.address == self.address for other in self.connections):
                 self.fail_waiting_attempts()  # else they wait for room on the others until they time out
-            if (
-                reason == "refused"
-                and self.last_connection_reset
-                and not any(other.connected for other in self.connections)
-            ):
+            if reason == "refused" and self.last_connection_reset and not self.is_connected:
                 # The process is gone: it reset its connections when it ended, and its sessions are over. A
                 # draining server closes its connections in order and refuses new ones; its sessions continue.
-                self.lose_sessions("refused")
+                self.lose_sessions(LossReason.REFUSED)
         elif self.waiting_attempts:
             self.send_waiting_attempts()
             if self.waiting_attempts:
                 self.open_connection()
+        if ended_by_server:
+            # At once, because what the server has to tell in the meantime does not arrive. Not after a close
+            # of our own, which may have made room for the connection of another server.
+            self.reconnect_for_sessions(now)
+
+    def reconnect_for_sessions(self, now: float) -> None:
+        """Opens a connection on which the notes and releases of established sessions can arrive."""
+        if self.established_sessions and not self.connections:
+            self.reconnect(now)
+
+    def reconnect(self, now: float) -> None:
+        """Opens a connection unless one has just been tried."""
+        if now - self.connect_started_at > bounds.RECONNECT_INTERVAL_S:
+            self.open_connection()
 
     def fail_waiting_attempts(self) -> None:
         """Ends the attempts that wait for a connection: they provably never ran."""
@@ -267,7 +278,7 @@
         for attempt in waiting:
             self.owner.on_attempt_ended(attempt, Outcome.CONNECT_FAILED, ())
 
-    def lose_sessions(self, reason: str, before: float = float("inf")) -> None:
+    def lose_sessions(self, reason: LossReason, before: float = float("inf")) -> None:
         """Ends the sessions that were set up here before a time: the server can no longer report them."""
         lost = [
             session
@@ -275,17 +286,13 @@
             if session.attempt is None or session.attempt.started_at < before
         ]
         if lost:
-            now = self.owner.loop.now()
-            self.owner.counts[f"lost_{reason.split()[0]}"] += len(lost)
+            self.owner.counts[f"lost_{reason.value}"] += len(lost)
             self.owner.log_event(
                 "sessions lost",
                 server=self.id,
-                why=reason,
+                why=reason.value,
                 sessions=len(lost),
-                message_age_s=age_s(now, self.last_message_at),
-                reset_age_s=age_s(now, self.sessions_at_risk_since),
-                connected_age_s=age_s(now, self.connected_at),
-                connect_failed_age_s=age_s(now, self.connect_failed_at),
+                **self.liveness.describe(self.owner.loop.now()),
             )
         for session in lost:
             self.owner.on_session_lost(session)
@@ -317,23 +324,24 @@
         after it is sent once more, because a reset may have destroyed it.
         """
         for connection in sorted(self.connections, key=lambda connection: connection.address != self.address):
-            if connection.connected and connection.stream.open and not connection.stream.closing:
+            if connection.takes_commands:
                 connection.send_command(ref, kind, line)
                 return
         self.pending_commands[ref, kind] = line
         self.command_queued_at = self.owner.loop.now()
         self.open_connection()
 
+    def on_session_message(self) -> None:
+        """A message on an established session has arrived."""
+        self.liveness.on_message(self.owner.loop.now())
+
     def add_session(self, session: Session) -> None:
         if not self.established_sessions:
-            self.last_message_at = self.owner.loop.now()
-            self.sessions_at_risk_since = NEVER
+            self.on_session_message()
         self.established_sessions[session.ref] = session
 
     def remove_session(self, session: Session) -> None:
         self.established_sessions.pop(session.ref, None)
-        if not self.established_sessions:
-            self.sessions_at_risk_since = NEVER
         self.owner.remove_if_unused(self)
 
     def is_idle(self, connection: ServerConnection, now: float) -> bool:
@@ -349,43 +357,30 @@
 
     def sweep(self, now: float) -> None:
         """Closes idle connections, keeps one to a server with established sessions, detects dead servers."""
-        owner = self.owner
         if now - self.command_queued_at > bounds.COMMAND_TTL_S:
             self.pending_commands.clear()
         self.send_waiting_attempts()
-        if (
-            self.waiting_attempts or self.pending_commands
-        ) and now - self.connect_started_at > bounds.RECONNECT_INTERVAL_S:
-            self.open_connection()  # the last connect failed or took too long
-        for connection in list(self.connections):
-            if self.is_idle(connection, now):
-                if not self.established_sessions or any(
-                    other is not connection and other.connected for other in self.connections
-                ):
-                    # A message of the server may be unread.
-                    if connection.stream.read_pending() and self.is_idle(connection, now):
-                        connection.stream.close()
-                elif not any(not other.connected for other in self.connections):
-                    self.open_connection()  # the idle connection is closed once its replacement is up
+        if self.waiting_attempts or self.pending_commands:
+            self.reconnect(now)  # the last connect failed or took too long
+        self.close_idle_connections(now)
         if not self.established_sessions:
             return
-        silence_s = now - self.last_message_at
-        probe_due = silence_s > owner.silence_timeout_s and self.connected_at < now - owner.silence_timeout_s
-        if (
-            probe_due or not self.connections
-        ) and now - self.connect_started_at > bounds.RECONNECT_INTERVAL_S:
-            self.open_connection()  # whether it succeeds shows whether the machine is alive
-        # A machine that vanished sends nothing and accepts no connection. If connections were reset and only
-        # a new one came up, another process may have taken the address: without a message that is treated
-        # the same. A server that was never listed has no address, so the end of a session that was handed
-        # over there would never be reported.
-        if silence_s > bounds.SERVER_LOST_AFTER_S:
-            if not self.address[1]:
-                self.lose_sessions("unlisted")
-            elif self.connect_failed_at > self.connected_at:
-                self.lose_sessions("unreachable")
-            elif self.last_message_at < self.sessions_at_risk_since:
-                self.lose_sessions("silent after a reset")
+        self.reconnect_for_sessions(now)
+        if self.liveness.is_probe_due(now):
+            self.reconnect(now)  # whether it succeeds shows whether the machine is alive
+        if reason := self.liveness.presumed_loss(now, has_address=bool(self.address[1])):
+            self.lose_sessions(reason)
+
+    def close_idle_connections(self, now: float) -> None:
+        for connection in list(self.connections):
+            if not self.is_idle(connection, now):
+                continue
+            has_other = any(other is not connection and other.connected for other in self.connections)
+            if self.established_sessions and not has_other:
+                self.open_connection()  # the idle connection is closed once its replacement is up
+            elif connection.stream.read_pending() and self.is_idle(connection, now):
+                # A message of the server may have been unread.
+                connection.stream.close()
 
 
 class MediaServers:
@@ -402,7 +397,7 @@
         set_ups_per_connection: int,
         idle_timeout_s: float,
         connect_timeout_s: float,
-        max_note_interval_s: float,
+        notes: NoteSchedule,
         max_connections: int,
         counts: Counter[str],
         log_event: Callable[..., None],
@@ -414,9 +409,7 @@
             connect_timeout_s,
             max_connections,
         )
-        self.silence_timeout_s = max(
-            bounds.MIN_SILENCE_S, min(max_note_interval_s, bounds.SERVER_LOST_AFTER_S - 1.5)
-        )
+        self.notes = notes
         self.by_id: dict[str, MediaServer] = {}
         self.by_number: dict[int, MediaServer] = {}
         self.next_number = 1
--- a/lemonhall/front/node/session.py
+++ b/lemonhall/front/node/session.py
@@ -45,11 +45,12 @@
 
     id: str
     number: int
-    last_message_at: float
     pending_commands: dict[tuple[str, str], bytes]
 
     def give_up_attempt(self, attempt: Attempt) -> bool: ...
 
+    def on_session_message(self) -> None: ...
+
     def add_session(self, session: Session) -> None: ...
 
     def remove_session(self, session: Session) -> None: ...
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -16,7 +16,8 @@
 
 from lemonhall import interface
 from lemonhall.front.decider.bridge import Bridge
-from lemonhall.front.node.servers import NEVER, MediaServer, MediaServers, ServerConnection
+from lemonhall.front.node.liveness import NEVER
+from lemonhall.front.node.servers import MediaServer, MediaServers, ServerConnection
 from lemonhall.front.node.session import Attempt, Session
 from lemonhall.front.node.viewers import ViewerConnection, ViewerConnections
 from lemonhall.interface import Outcome
@@ -255,7 +256,7 @@
         self.established_count += 1
         self.counts["played"] += 1
         attempt.server.add_session(session)
-        attempt.server.last_message_at = self.loop.now()
+        attempt.server.on_session_message()
         took_ms = (self.loop.now() - attempt.started_at) * 1000
         self.counts["took_ms"] += int(took_ms)
         if session.viewer:
@@ -296,7 +297,7 @@
             or session.attempt.server is not connection.server
         ):
             return
-        connection.server.last_message_at = self.loop.now()
+        connection.server.on_session_message()
         outcome = outcome_after_answer(down.cause)
         if outcome is not Outcome.CANCELLED:  # 31: the viewer has ended the session and expects no release
             self.viewers.release_session(session, messages.encode_down(session.ref, down.cause))
@@ -309,7 +310,7 @@
             return
         if session.attempt.server is not connection.server:
             return
-        connection.server.last_message_at = self.loop.now()
+        connection.server.on_session_message()
         self.counts["notes"] += 1
         server_number = connection.server.number
         if note.kind == interface.NoteKind.RUNG:
@@ -340,7 +341,7 @@
         self.end_attempt(attempt, Outcome.TIMEOUT if may_have_run else Outcome.CONNECT_FAILED)
 
     def end_lost_session(self, session: Session) -> None:
-        """The server is gone, and the session with it."""
+        """The server is gone, and the session with it, or has to be taken for gone."""
         self.viewers.release_session(session, messages.encode_down(session.ref, CONNECTION_LOST))
         self.end(session, Outcome.RESET)
 
--- a/lemonhall/node/configuration.py
+++ b/lemonhall/node/configuration.py
@@ -29,6 +29,7 @@
     set_ups_per_connection: int  # that one connection to a media server carries at once
     idle_timeout_s: float  # after which a media server closes an idle connection
     connect_timeout_s: float
+    note_interval_s: float  # between regular notes of a media server with sessions of this node; 0: none
 
 
 def parse_address(text: Any, field: str) -> Address:
@@ -136,6 +137,7 @@
         )
         set_ups_per_connection = max(1, pairs.whole("caps.maxStreams", 1))
         idle_timeout_s = pairs.number("caps.connIdle", 15000.0) / 1000
+        has_regular_notes = pairs.text("report.how", "none") == "answers"
     except (wire.WireError, ValueError) as error:
         raise BadInput(f"{path}: settings", str(error)) from None
     limits = document.get("limits")
@@ -159,4 +161,5 @@
         set_ups_per_connection,
         idle_timeout_s,
         settings.connect_timeout_ms / 1000,
+        settings.reports_every_ms / 1000 if has_regular_notes else 0.0,
     )
--- /dev/null
+++ b/tests/node/test_liveness.py
@@ -0,0 +1,207 @@
+"""Sessions go on while their media server may hold them, and are told to be over in time where it does not.
+
+docs/incidents/sessions-released-after-a-reset.md has the failure that most of these guard against.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from lemonhall.front.node.liveness import Liveness, LossReason, NoteSchedule
+from lemonhall.node import bounds
+from tests.node.test_rare import (
+    LINGER_RESET,
+    no_state_left,
+    note,
+    order_ready_sockets,
+    wait_until_readable,
+)
+from tests.node.world import FakeServer, Peer, World, make_settings
+
+RELEASE_LIMIT_S = 8.0  # protocol: from the end of a session to its release, where the server sends none
+SWEEP_S = bounds.SWEEP_INTERVAL_S
+NOTE_INTERVAL_S = 4.4
+BEFORE_NOTE_S = 0.05
+
+
+def settings_with_notes(interval_s: float, how: str = "answers") -> dict[str, Any]:
+    settings = make_settings()
+    settings["specifics"]["reportsEvery"] = interval_s * 1000
+    settings["report"]["how"] = how
+    return settings
+
+
+@pytest.fixture
+def noted(worlds: Callable[..., World]) -> World:
+    """One server, which sends a note on one of its sessions every 4.4 s."""
+    return worlds(servers=1, settings=settings_with_notes(NOTE_INTERVAL_S))
+
+
+def reset_connections(server: FakeServer) -> None:
+    for connection in [peer for peer in server.connections if not peer.closed]:
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        connection.close()
+
+
+def reset(world: World, server: FakeServer) -> Peer:
+    """Resets all connections; returns the one that the node then opens."""
+    known = len(server.connections)
+    reset_connections(server)
+    world.run_until(lambda: world.advance(0.01) or len(server.connections) > known)
+    return server.connections[-1]
+
+
+def world_server(world: World, server: FakeServer) -> Any:
+    return world.node.servers.by_id[server.name]
+
+
+def send_note(world: World, connection: Peer, ref: str) -> None:
+    before = world.node.counts["notes"]
+    connection.send_data(note(ref))
+    world.run_until(lambda: world.node.counts["notes"] > before)
+
+
+def stands(world: World, ref: str) -> bool:
+    return world.node.sessions.by_ref[ref].established and not world.messages_for(ref, "down")
+
+
+def test_a_session_goes_on_if_a_reset_destroys_the_note_that_was_due(noted: World) -> None:
+    """review/2: released 2.2 s after the reset, because the silence was counted from before it."""
+    ref, server, connection = noted.establish_session("premium")
+    send_note(noted, connection, ref)
+    noted.advance(NOTE_INTERVAL_S - BEFORE_NOTE_S)
+    connection = reset(noted, server)  # the note that is due now is not sent
+    noted.advance(NOTE_INTERVAL_S + BEFORE_NOTE_S)
+    assert stands(noted, ref)
+    send_note(noted, connection, ref)
+    noted.advance(NOTE_INTERVAL_S)
+    assert stands(noted, ref)
+
+
+def test_a_server_that_reset_its_connection_is_connected_at_once(noted: World) -> None:
+    """The new connection waited for the next sweep, and what the server had to tell until then was lost."""
+    ref, server, _ = noted.establish_session()
+    noted.advance(1.0)
+    reset_connections(server)
+    noted.run_until(lambda: len(server.connections) == 2)  # the clock stands still
+    assert stands(noted, ref)
+
+
+def test_a_process_that_took_the_address_after_a_reset_is_found_out_in_time(noted: World) -> None:
+    """The other way: nothing comes on the new connection, so the session is over since the reset."""
+    ref, server, connection = noted.establish_session("premium")
+    send_note(noted, connection, ref)
+    noted.advance(NOTE_INTERVAL_S - BEFORE_NOTE_S)
+    connection = reset(noted, server)
+    noted.advance(NOTE_INTERVAL_S)
+    reset(noted, server)  # does not begin the wait anew
+    assert stands(noted, ref)
+    noted.advance(RELEASE_LIMIT_S - NOTE_INTERVAL_S - 1.0)
+    assert [m["c"] for m in noted.messages_for(ref, "down")] == [41] and no_state_left(noted)
+    assert noted.node.counts["lost_silent"] == 1
+
+
+# Servers that send no regular notes
+
+
+@pytest.mark.parametrize(
+    "settings",
+    [settings_with_notes(0.0), settings_with_notes(2.5, "none"), settings_with_notes(9.0)],
+    ids=["no notes", "no reports in answers", "rare notes"],
+)
+def test_a_reset_proves_nothing_where_no_note_is_due_in_time(
+    worlds: Callable[..., World], settings: dict[str, Any]
+) -> None:
+    """Each reset of an idle connection ended every session of the server there."""
+    world = worlds(servers=1, settings=settings)
+    ref, server, _ = world.establish_session("premium")
+    world.advance(bounds.SERVER_LOST_AFTER_S)
+    for _ in range(2):
+        reset(world, server)
+        world.advance(RELEASE_LIMIT_S + 1.0)
+        assert stands(world, ref)
+    server.kill()
+    world.advance(1.0)
+    assert [m["c"] for m in world.messages_for(ref, "down")] == [41]
+
+
+def test_one_failed_connect_ends_no_session_that_is_silent(worlds: Callable[..., World]) -> None:
+    """Where no note is due, all sessions of a server ended once one of its connections did not come up."""
+    world = worlds(servers=1, settings=settings_with_notes(0.0))
+    ref, server, _ = world.establish_session()
+    world.advance(7.0)
+    server.refuse_connections()
+    world.run_until(lambda: world.advance(0.05) or world.node.counts["link_refused_new"])  # the next probe
+    server.start_listening()
+    world.advance(4.0)
+    assert stands(world, ref)
+
+
+@pytest.mark.parametrize("quiet_s", [0.0, 3.0, 5.5, 9.0])
+def test_a_machine_that_vanishes_is_found_out_in_time_without_notes(
+    worlds: Callable[..., World], quiet_s: float
+) -> None:
+    """The other way: its connections stay open and silent, and new ones never come up."""
+    world = worlds(servers=1, settings=settings_with_notes(0.0))
+    ref, server, _ = world.establish_session()
+    world.advance(quiet_s)
+    server.refuse_connections()
+    world.advance(RELEASE_LIMIT_S - 2 * SWEEP_S)
+    assert [m["c"] for m in world.messages_for(ref, "down")] == [41]
+
+
+def test_a_reset_counts_also_while_another_connection_is_being_opened(noted: World) -> None:
+    """The sessions of a process that had ended stood until the list told it."""
+    order_ready_sockets(noted, descending=False)
+    ref, server, _ = noted.establish_session()
+    noted.advance(0.5)
+    node_connection = world_server(noted, server).connections[0]
+    reset_connections(server)
+    wait_until_readable(node_connection)
+    world_server(noted, server).open_connection()
+    noted.advance(RELEASE_LIMIT_S - 1.0)
+    assert [m["c"] for m in noted.messages_for(ref, "down")] == [41]
+
+
+# The rule alone
+
+
+def liveness(interval_s: float = NOTE_INTERVAL_S, now: float = 100.0) -> Liveness:
+    state = Liveness(NoteSchedule(interval_s, 1.0))
+    state.on_message(now)
+    state.on_connected(now)
+    return state
+
+
+def test_a_message_ends_the_doubt_that_a_reset_raised() -> None:
+    state = liveness()
+    state.on_last_connection_reset(104.0)
+    state.on_connected(104.1)
+    state.on_message(108.5)
+    assert state.presumed_loss(200.0, has_address=True) is None
+
+
+@pytest.mark.parametrize("resets", [[104.0], [104.0, 106.0, 110.0]])
+def test_the_wait_runs_from_the_first_reset(resets: list[float]) -> None:
+    state = liveness()
+    for moment in resets:
+        state.on_last_connection_reset(moment)
+        state.on_connected(moment + 0.1)
+    lost_at = resets[0] + bounds.SERVER_LOST_AFTER_S
+    assert state.presumed_loss(lost_at - 0.01, has_address=True) is None
+    assert state.presumed_loss(lost_at + 0.01, has_address=True) is LossReason.SILENT
+
+
+def test_an_unreachable_server_is_lost_from_its_last_sign_of_life() -> None:
+    state = liveness()
+    state.on_sign_of_life(105.0)
+    state.on_connect_failed(105.5)
+    lost_at = 105.0 + bounds.SERVER_LOST_AFTER_S
+    assert state.presumed_loss(lost_at - 0.01, has_address=True) is None
+    assert state.presumed_loss(lost_at + 0.01, has_address=True) is LossReason.UNREACHABLE
+    state.on_connected(lost_at)
+    assert state.presumed_loss(lost_at + 0.01, has_address=True) is None
--- a/tests/node/test_rare.py
+++ b/tests/node/test_rare.py
@@ -1016,8 +1016,7 @@
     if how == "reset":
         connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
     connection.close()
-    world.run_until(lambda: not world.node.servers.by_id[server.name].connections)
-    world.advance(1.0)
-    world.run_until(lambda: any(k.connected for k in world.node.servers.by_id[server.name].connections))
-    world.advance(8.0)
+    world.run_until(lambda: len(server.connections) == 2)
+    world.run_until(lambda: world.node.servers.by_id[server.name].is_connected)
+    world.advance(9.0)
     assert [m["c"] for m in world.messages_for(ref, "down")] == ([41] if how == "reset" else [])
