Sessions that are presumed lost are released at their media server as well

Cause: end_lost_session told the viewer and the module, never the server, also where the end was only presumed from silence; and commands that found no connection were dropped after 8 s (COMMAND_TTL_S), so after a longer cut-off the server held also what a viewer had ended. Change: a reason to lose sessions is proven (refused, restarted, gone) or presumed (unreachable, silent, unlisted). What is presumed is released at the server: over the open connection, or, where none works, over the next one that comes up or brings data. Connections are opened for waiting commands for 8 s; later they wait for the next one, until the list drops the server. They do not hold the shutdown. Why it works: whichever side was right about the session, both have ended it once they meet again, and the seat counts once. A release of a session that the server does not know is without effect.

--- a/lemonhall/front/node/liveness.py
+++ b/lemonhall/front/node/liveness.py
@@ -16,7 +16,7 @@
 
 
 class LossReason(Enum):
-    """Why sessions of a server are over."""
+    """Why sessions of a server are over; `proven` reasons leave no doubt that the server has ended them."""
 
     REFUSED = "refused"  # its connection was reset, and no process listens any more
     RESTARTED = "restarted"  # the list tells a later start
@@ -25,6 +25,10 @@
     SILENT = "silent"  # its last connection was reset, and no message on a session came since
     UNLISTED = "unlisted"  # the list has never told its address, so it cannot report the end of a session
 
+    @property
+    def proven(self) -> bool:
+        return self in (LossReason.REFUSED, LossReason.RESTARTED, LossReason.GONE)
+
 
 @dataclass(frozen=True)
 class NoteSchedule:
--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -215,7 +215,7 @@
         return (
             any(viewer.stream.backlog_bytes for viewer in self.viewers.connections)
             or any(connection.stream.backlog_bytes for server in servers for connection in server.connections)
-            or any(server.pending_commands and server.connections for server in servers)
+            or any(server.pending_commands and server.is_connecting for server in servers)
         )
 
     def stop_when_answered(self) -> None:
--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -14,7 +14,7 @@
 from lemonhall.interface import Outcome
 from lemonhall.loop import Handler, Loop, Stream
 from lemonhall.node import bounds, messages
-from lemonhall.node.causes import GIVEN_UP
+from lemonhall.node.causes import CONNECTION_LOST, GIVEN_UP
 from lemonhall.node.line_reader import LineReader, LineTooLong
 from lemonhall.node.messages import Down, MessageError, Note, SettingsNames, Up
 
@@ -70,6 +70,7 @@
                 why=str(error) or "line is too long",
             )
             self.stream.abort()
+        self.server.send_pending_commands(self)  # the server is heard on this connection again
         self.server.send_waiting_attempts()  # a set-up that has ended makes room
 
     def on_closed(self, reason: str) -> None:
@@ -189,9 +190,7 @@
 
     def on_connection_up(self, connection: ServerConnection) -> None:
         self.liveness.on_connected(self.owner.loop.now())
-        commands, self.pending_commands = self.pending_commands, {}
-        for (ref, kind), line in commands.items():
-            connection.send_command(ref, kind, line)
+        self.send_pending_commands(connection)
         self.send_waiting_attempts()
         if self.waiting_attempts:
             self.open_connection()
@@ -295,10 +294,24 @@
                 **self.liveness.describe(self.owner.loop.now()),
             )
         for session in lost:
+            if not reason.proven:
+                self.release_lost_session(session, reason)
             self.owner.on_session_lost(session)
-        if not self.established_sessions:
+        if reason.proven and not self.established_sessions:
             self.pending_commands.clear()
 
+    def release_lost_session(self, session: Session, reason: LossReason) -> None:
+        """The server may hold the session still: without a release it would stand there beside its successor.
+
+        Connections that stay open to a machine that cannot be reached carry nothing.
+        """
+        line = messages.encode_down(session.ref, CONNECTION_LOST)
+        self.pending_commands.pop((session.ref, "step"), None)
+        if reason is LossReason.UNREACHABLE:
+            self.queue_command(session.ref, "down", line)
+        else:
+            self.send_command(session.ref, "down", line)
+
     def give_up_attempt(self, attempt: Attempt) -> bool:
         """Stops waiting for an attempt, on a connection that stays; whether any of it may have been sent."""
         connection, attempt.connection = attempt.connection, None
@@ -327,10 +340,21 @@
             if connection.takes_commands:
                 connection.send_command(ref, kind, line)
                 return
+        self.queue_command(ref, kind, line)
+
+    def queue_command(self, ref: str, kind: str, line: bytes) -> None:
         self.pending_commands[ref, kind] = line
         self.command_queued_at = self.owner.loop.now()
         self.open_connection()
 
+    def send_pending_commands(self, connection: ServerConnection) -> None:
+        """Sends the commands that wait, on a connection that works: it has come up, or has brought data."""
+        if not self.pending_commands or not connection.takes_commands:
+            return
+        commands, self.pending_commands = self.pending_commands, {}
+        for (ref, kind), line in commands.items():
+            connection.send_command(ref, kind, line)
+
     def on_session_message(self) -> None:
         """A message on an established session has arrived."""
         self.liveness.on_message(self.owner.loop.now())
@@ -357,10 +381,9 @@
 
     def sweep(self, now: float) -> None:
         """Closes idle connections, keeps one to a server with established sessions, detects dead servers."""
-        if now - self.command_queued_at > bounds.COMMAND_TTL_S:
-            self.pending_commands.clear()
+        self.sweep_pending_commands(now)
         self.send_waiting_attempts()
-        if self.waiting_attempts or self.pending_commands:
+        if self.waiting_attempts:
             self.reconnect(now)  # the last connect failed or took too long
         self.close_idle_connections(now)
         if not self.established_sessions:
@@ -371,6 +394,18 @@
         if reason := self.liveness.presumed_loss(now, has_address=bool(self.address[1])):
             self.lose_sessions(reason)
 
+    def sweep_pending_commands(self, now: float) -> None:
+        """Tries to connect for the commands that wait; later they wait for any connection.
+
+        The server may hold their sessions until then, but one that is not listed may never be.
+        """
+        if not self.pending_commands:
+            return
+        if now - self.command_queued_at <= bounds.COMMAND_RECONNECT_S:
+            self.reconnect(now)
+        elif not self.listed:
+            self.pending_commands.clear()
+
     def close_idle_connections(self, now: float) -> None:
         for connection in list(self.connections):
             if not self.is_idle(connection, now):
--- a/tests/node/test_liveness.py
+++ b/tests/node/test_liveness.py
@@ -15,6 +15,7 @@
 from lemonhall.node import bounds
 from tests.node.test_rare import (
     LINGER_RESET,
+    down,
     no_state_left,
     note,
     order_ready_sockets,
@@ -65,6 +66,10 @@
     world.run_until(lambda: world.node.counts["notes"] > before)
 
 
+def releases_at(server: FakeServer, ref: str) -> list[int]:
+    return [m["c"] for _, m in server.received_messages("down") if m["ref"] == ref]
+
+
 def stands(world: World, ref: str) -> bool:
     return world.node.sessions.by_ref[ref].established and not world.messages_for(ref, "down")
 
@@ -79,7 +84,7 @@
     assert stands(noted, ref)
     send_note(noted, connection, ref)
     noted.advance(NOTE_INTERVAL_S)
-    assert stands(noted, ref)
+    assert stands(noted, ref) and not releases_at(server, ref)
 
 
 def test_a_server_that_reset_its_connection_is_connected_at_once(noted: World) -> None:
@@ -105,6 +110,89 @@
     assert noted.node.counts["lost_silent"] == 1
 
 
+def test_a_session_that_is_taken_for_over_after_a_reset_is_released_at_its_server(noted: World) -> None:
+    """review/2: the server held it for good, and three sessions of a title stood where seats are two."""
+    ref, server, connection = noted.establish_session("premium")
+    noted.advance(0.5)
+    reset(noted, server)
+    noted.advance(RELEASE_LIMIT_S)
+    assert noted.messages_for(ref, "down") and releases_at(server, ref) == [41]
+
+
+@pytest.mark.parametrize("reached_by", ["reconnect", "old connection", "next set-up"])
+def test_a_session_lost_in_a_cut_off_is_released_at_its_server_when_it_is_reached(
+    worlds: Callable[..., World], reached_by: str
+) -> None:
+    """The server held the session until its natural end, beside its viewer's next one."""
+    settings = settings_with_notes(NOTE_INTERVAL_S)
+    settings["caps"]["connIdle"] = 120_000.0
+    world = worlds(servers=1, settings=settings)
+    ref, server, connection = world.establish_session("premium")
+    server.refuse_connections()  # the open connection stays open and silent
+    world.advance(7.0 if reached_by == "reconnect" else 20.0)
+    assert [m["c"] for m in world.messages_for(ref, "down")] == [41] and not releases_at(server, ref)
+    server.start_listening()
+    world.advance(bounds.RECONNECT_INTERVAL_S + 2 * SWEEP_S)
+    assert bool(releases_at(server, ref)) == (reached_by == "reconnect")
+    if reached_by == "old connection":
+        connection.send_data(note(ref))
+    elif reached_by == "next set-up":
+        connection.close()
+        world.run_until(lambda: not world_server(world, server).connections)
+        world.request_set_up()
+    world.run_until(lambda: releases_at(server, ref))
+    world.advance(2.0)
+    assert releases_at(server, ref) == [41]
+
+
+def test_a_viewers_release_reaches_its_server_after_a_long_cut_off(noted: World) -> None:
+    """It was dropped after 8 s, and the server held the session until its natural end."""
+    ref, server, connection = noted.establish_session("premium")
+    server.refuse_connections()
+    connection.close()
+    noted.run_until(lambda: not world_server(noted, server).connections)
+    noted.viewer.send_data(down(ref, 31))
+    noted.advance(2 * bounds.COMMAND_RECONNECT_S)
+    server.start_listening()
+    next_ref = noted.request_set_up()["ref"]
+    noted.wait_for_set_up(next_ref)
+    assert releases_at(server, ref) == [31]
+
+
+def test_a_session_lost_at_an_unlisted_server_is_released_when_the_list_tells_it(world: World) -> None:
+    late = FakeServer("s-0000000f", 2)
+    world.servers.append(late)
+    ref = world.request_set_up(extras=f"viewer:00000000000000aa;at:{late.name}")["ref"]
+    world.advance(RELEASE_LIMIT_S)
+    assert [m["c"] for m in world.messages_for(ref, "down")] == [41]
+    world.fake_resolver.servers, world.fake_resolver.list_number = list(world.servers), 2
+    world.advance(2.0)
+    assert releases_at(late, ref) == [41]
+
+
+def test_releases_for_a_server_that_left_the_list_are_forgotten(noted: World) -> None:
+    _, server, _ = noted.establish_session()
+    server.refuse_connections()
+    noted.advance(RELEASE_LIMIT_S)
+    assert world_server(noted, server).pending_commands
+    other = FakeServer("s-0000000e", 1)
+    noted.servers.append(other)
+    noted.fake_resolver.servers, noted.fake_resolver.list_number = [other], 2
+    noted.advance(2.0)
+    assert server.name not in noted.node.servers.by_id
+
+
+def test_a_release_that_waits_for_an_unreachable_server_does_not_hold_the_shutdown(noted: World) -> None:
+    _, server, _ = noted.establish_session()
+    server.refuse_connections()
+    noted.advance(RELEASE_LIMIT_S + bounds.COMMAND_RECONNECT_S)
+    assert world_server(noted, server).pending_commands
+    noted.loop.running = True
+    noted.node.stop()
+    noted.advance(bounds.ACCEPT_AFTER_TERM_S + bounds.SHUTDOWN_LINGER_S + 0.1)
+    assert not noted.loop.running
+
+
 # Servers that send no regular notes
 
 
