The first drawn test of the front node waits until the set-ups have reached the node

The test advances its own clock by 10 s although set-ups that viewers have sent may still be on their way on a busy machine; the node reads them after that and has not answered when the test looks. Seen again twice in this work: the node's summary counts 3 set-ups before and 7 after 5 s of the test's clock, which took 55 ms of real time. The review of the node traced two failures to the same. Change: the test waits until the kernel has delivered what viewers sent (SIOCOUTQ, as the other drawn test does) before the clock goes on. The check is the same, and stricter in time: all are answered 5 s later, not 10 s.

--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -145,9 +145,11 @@
         apply_steps(world, steps)
         world.pump()
         check(world)
+        for viewer in world.viewers:
+            if not viewer.closed:
+                wait_until_delivered(viewer)  # on a busy machine set-ups may still be on their way
+        world.pump()
         world.advance(5.0)  # all set-ups time out
-        world.pump()  # on a busy machine the last set-up may have arrived only now
-        world.advance(5.0)
         assert world.node.open_set_up_count == 0
         check(world)
     finally:
