A set-up whose connection breaks after it was sent is given up at its server as well

A server may have answered a set-up when its connection breaks, behind a spoilt answer of another set-up on the same connection above all; then it holds a session that no viewer has and no front counts (end of open attempts in MediaServer.on_connection_closed). Set-ups that time out were given up at the server already. Change: the give-up goes over another connection, or the next one; it is dropped where the process has ended. The method is taken apart by what it does.

--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -18,6 +18,7 @@
 from lemonhall.node.line_reader import LineReader, LineTooLong
 from lemonhall.node.messages import Down, MessageError, Note, SettingsNames, Up
 
+ENDED_BY_SERVER = ("reset", "eof")  # reasons of a close
 REPEATED_DOWN = "repeated down"  # kind of a release that is sent for the second and last time
 
 
@@ -220,48 +221,60 @@
                 connection.stream.abort()
 
     def on_connection_closed(self, connection: ServerConnection, reason: str) -> None:
-        owner, now = self.owner, self.owner.loop.now()
+        now = self.owner.loop.now()
         if connection in self.connections:
             self.connections.remove(connection)
-        never_connected = not connection.connected
-        ended_by_server = not never_connected and reason in ("reset", "eof")
-        owner.counts[f"link_{reason}{'_new' if never_connected else ''}"] += 1
-        if not never_connected:
+        self.owner.counts[f"link_{reason}{'' if connection.connected else '_new'}"] += 1
+        ended_by_server = connection.connected and reason in ENDED_BY_SERVER
+        if connection.connected:
             self.last_connection_reset = reason == "reset"
-            if ended_by_server:
-                self.liveness.on_sign_of_life(now)
+        if ended_by_server:
+            self.liveness.on_sign_of_life(now)
             if self.last_connection_reset and self.established_sessions and not self.is_connected:
                 self.liveness.on_last_connection_reset(now)
+        self.repeat_recent_releases(connection, now)
+        self.end_open_attempts(connection)
+        if not connection.connected and reason != "local":
+            self.on_connect_failed(now, reason)
+        elif self.waiting_attempts:
+            self.send_waiting_attempts()
+            if self.waiting_attempts:
+                self.open_connection()
+        if ended_by_server:
+            # At once, because what the server has to tell in the meantime does not arrive. Not after a close
+            # of our own, which may have made room for the connection of another server.
+            self.reconnect_for_sessions(now)
+
+    def repeat_recent_releases(self, connection: ServerConnection, now: float) -> None:
         for sent_at, ref, line in connection.recent_releases:
             if now - sent_at < bounds.RESEND_WINDOW_S:
                 self.send_command(ref, REPEATED_DOWN, line)
         connection.recent_releases.clear()
+
+    def end_open_attempts(self, connection: ServerConnection) -> None:
+        """Ends the set-ups that a broken connection carried, but for those of which nothing was sent."""
         for attempt in list(connection.open_attempts.values()):
-            if not connection.was_sent(attempt) and attempt.moves < 1:
-                attempt.moves += 1  # nothing of it was sent: the same attempt goes to another connection
+            if connection.was_sent(attempt):
+                # The server may have answered: then it holds the session, which belongs to no connection.
+                self.send_give_up(attempt)
+                self.owner.on_attempt_ended(attempt, Outcome.RESET, ())
+            elif attempt.moves < 1:
+                attempt.moves += 1  # the same attempt goes to another connection
                 attempt.connection = None
                 self.waiting_attempts.append(attempt)
             else:
-                outcome = Outcome.RESET if connection.was_sent(attempt) else Outcome.CONNECT_FAILED
-                owner.on_attempt_ended(attempt, outcome, ())
+                self.owner.on_attempt_ended(attempt, Outcome.CONNECT_FAILED, ())
         connection.open_attempts.clear()
-        if never_connected and reason != "local":
-            self.liveness.on_connect_failed(now)
-            self.send_waiting_attempts()
-            if not any(other.connected and other.address == self.address for other in self.connections):
-                self.fail_waiting_attempts()  # else they wait for room on the others until they time out
-            if reason == "refused" and self.last_connection_reset and not self.is_connected:
-                # The process is gone: it reset its connections when it ended, and its sessions are over. A
-                # draining server closes its connections in order and refuses new ones; its sessions continue.
-                self.lose_sessions(LossReason.REFUSED)
-        elif self.waiting_attempts:
-            self.send_waiting_attempts()
-            if self.waiting_attempts:
-                self.open_connection()
-        if ended_by_server:
-            # At once, because what the server has to tell in the meantime does not arrive. Not after a close
-            # of our own, which may have made room for the connection of another server.
-            self.reconnect_for_sessions(now)
+
+    def on_connect_failed(self, now: float, reason: str) -> None:
+        self.liveness.on_connect_failed(now)
+        self.send_waiting_attempts()
+        if not any(other.connected and other.address == self.address for other in self.connections):
+            self.fail_waiting_attempts()  # else they wait for room on the others until they time out
+        if reason == "refused" and self.last_connection_reset and not self.is_connected:
+            # The process is gone: it reset its connections when it ended, and its sessions are over. A
+            # draining server closes its connections in order and refuses new ones; its sessions continue.
+            self.lose_sessions(LossReason.REFUSED)
 
     def reconnect_for_sessions(self, now: float) -> None:
         """Opens a connection on which the notes and releases of established sessions can arrive."""
@@ -327,11 +340,14 @@
         if connection.cancel_set_up(attempt) or not connection.was_sent(attempt):
             return False
         # Its answer may be on the way, and an established session would outlive the connection.
-        connection.send_command(
-            attempt.session.ref, "down", messages.encode_down(attempt.session.ref, GIVEN_UP)
-        )
+        ref = attempt.session.ref
+        connection.send_command(ref, "down", messages.encode_down(ref, GIVEN_UP))
         return True
 
+    def send_give_up(self, attempt: Attempt) -> None:
+        ref = attempt.session.ref
+        self.send_command(ref, "down", messages.encode_down(ref, GIVEN_UP))
+
     def send_command(self, ref: str, kind: str, line: bytes) -> None:
         """Sends a command for an established session, at once or on the next connection.
 
--- a/tests/node/test_liveness.py
+++ b/tests/node/test_liveness.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -13,12 +14,14 @@
 
 from lemonhall.front.node.liveness import Liveness, LossReason, NoteSchedule
 from lemonhall.node import bounds
+from lemonhall.node.causes import GIVEN_UP
 from tests.node.test_rare import (
     LINGER_RESET,
     down,
     no_state_left,
     note,
     order_ready_sockets,
+    up,
     wait_until_readable,
 )
 from tests.node.world import FakeServer, Peer, World, make_settings
@@ -195,6 +198,34 @@
     assert not noted.loop.running
 
 
+# Set-ups whose connection breaks
+
+
+@pytest.mark.parametrize("how", ["invalid answer", "reset"])
+def test_a_set_up_whose_connection_breaks_is_given_up_at_its_server(noted: World, how: str) -> None:
+    """The server may have answered: it held a session that no viewer had, and that no front counted."""
+    refs = [noted.request_set_up("premium", extras=f"viewer:{n:016x}")["ref"] for n in (1, 2)]
+    for ref in refs:
+        server, connection, _ = noted.wait_for_set_up(ref)
+    if how == "reset":
+        reset_connections(server)
+    else:
+        connection.send_data(b"noise\n" + json.dumps(up(refs[1])).encode() + b"\n")
+    noted.run_until(lambda: all(noted.messages_for(ref, "down") for ref in refs))
+    noted.run_until(lambda: all(releases_at(server, ref) == [GIVEN_UP] for ref in refs))
+    assert no_state_left(noted)
+
+
+def test_no_connection_is_opened_for_the_set_ups_of_a_process_that_has_ended(noted: World) -> None:
+    ref = noted.request_set_up("premium")["ref"]
+    server, _, _ = noted.wait_for_set_up(ref)
+    server.kill()
+    noted.run_until(lambda: noted.messages_for(ref, "down"))
+    noted.advance(1.0)
+    assert noted.node.counts["link_refused_new"] == 1
+    assert not world_server(noted, server).pending_commands
+
+
 # Servers that send no regular notes
 
 
