--- a/lemonhall/front/node/resolver.py
+++ b/lemonhall/front/node/resolver.py
@@ -34,7 +34,6 @@
         self.timer: Timer | None = None
         self.timeout_s = bounds.DNS_QUERY_TIMEOUT_S
         self.last_response = b""  # without its id; an identical response is not parsed again
-        self.answered_at = loop.now()
         self.sock: socket.socket | None = None
         self.send_query()
 
@@ -115,7 +114,6 @@
             self.list_number, self.last_response = list_number, data[2:]
             self.on_list(list_number, servers)
         self.query_id = -1
-        self.answered_at = self.loop.now()
         self.timeout_s = bounds.DNS_QUERY_TIMEOUT_S
         if self.timer:
             self.timer.cancel()
--- a/lemonhall/node/causes.py
+++ b/lemonhall/node/causes.py
@@ -10,7 +10,6 @@
 BAD_MESSAGE = 100  # answers an unusable message; every cause that is not a refusal means a failure
 CONNECTION_LOST = 41
 ENDED_BY_VIEWER = 31
-REFUSALS = (34, 42, 102)
 
 OUTCOMES_BEFORE_ANSWER = {34: Outcome.FULL, 47: Outcome.ERROR, 102: Outcome.MOOT, 41: Outcome.RESET}
 OUTCOMES_AFTER_ANSWER = {16: Outcome.OK, 41: Outcome.RESET, 31: Outcome.CANCELLED}
