--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -29,6 +29,7 @@
 EXIT_BAD_INPUT = 2
 SUMMARY_INTERVAL_S = 5.0
 CONFIG_VARIABLE = "PROXY_CONFIG"
+MAX_LOGGED_IDS = 20  # of servers in one line of the log, of each state
 
 
 class FrontNode:
@@ -86,6 +87,7 @@
             self.counts,
             log.emit,
         )
+        self.sessions.list_age_s = lambda: self.resolver.list_age_s
         self.viewers.listen(config.listen_address)
         self.sweep()
         self.log_summary()
@@ -152,7 +154,16 @@
             if kind is interface.ListKind.CHANGES:  # a complete list reports it by omission
                 server = self.servers.get_or_add(entry.id)
                 reported.append(self.make_server(entry, server.number, interface.ServerState.GONE))
-        log.emit("list", number=list_number, kind=kind.name.lower(), changed=len(changed), gone=len(removed))
+        log.emit(
+            "list",
+            number=list_number,
+            kind=kind.name.lower(),
+            changed=len(changed),
+            gone=len(removed),
+            draining_ids=[entry.id for entry in changed if entry.draining][:MAX_LOGGED_IDS],
+            ready_ids=[entry.id for entry in changed if not entry.draining][:MAX_LOGGED_IDS],
+            gone_ids=[entry.id for entry in removed][:MAX_LOGGED_IDS],
+        )
         self.bridge.enqueue(interface.ServerList(kind, list_number, tuple(reported)))
         # After the report, so that the decider sees these sessions end on a server that is gone.
         for entry in removed:
@@ -264,6 +275,7 @@
             descriptors=len(os.listdir("/proc/self/fd")),
             servers=len(self.servers.by_id),
             list=self.resolver.list_number,
+            list_age_s=round(self.resolver.list_age_s, 3),
             longest_pass_ms=round(self.loop.longest_pass_s * 1000, 1),
             cpu_s=round(usage.ru_utime + usage.ru_stime, 2),
             memory_mb=round(resident_memory_mb(), 1),
--- a/lemonhall/front/node/resolver.py
+++ b/lemonhall/front/node/resolver.py
@@ -35,8 +35,15 @@
         self.timeout_s = bounds.DNS_QUERY_TIMEOUT_S
         self.last_response = b""  # without its id; an identical response is not parsed again
         self.sock: socket.socket | None = None
+        self.answered_at = loop.now()  # the last valid answer; the list of the start counts as one
+        self.reported_silent = False
         self.send_query()
 
+    @property
+    def list_age_s(self) -> float:
+        """Seconds since the list was last confirmed or changed by an answer."""
+        return self.loop.now() - self.answered_at
+
     def change_address(self, address: tuple[str, int]) -> None:
         """Queries a new resolver at once."""
         if address != self.address:
@@ -75,6 +82,13 @@
     def on_timeout(self) -> None:
         self.counts["resolver_silent"] += 1
         self.query_id = -1
+        if self.list_age_s > bounds.DISCOVERY_SILENCE_S and not self.reported_silent:
+            self.reported_silent = True
+            self.log_event(
+                "discovery silent; keeping the list and asking on",
+                list=self.list_number,
+                list_age_s=round(self.list_age_s, 3),
+            )
         self.close_socket()
         self.timeout_s = min(bounds.DNS_MAX_TIMEOUT_S, self.timeout_s * 1.5)
         self.send_query()
@@ -113,8 +127,18 @@
                 return
             self.list_number, self.last_response = list_number, data[2:]
             self.on_list(list_number, servers)
+        self.on_confirmed()
         self.query_id = -1
         self.timeout_s = bounds.DNS_QUERY_TIMEOUT_S
         if self.timer:
             self.timer.cancel()
         self.timer = self.loop.call_later(bounds.DNS_QUERY_INTERVAL_S, self.send_query)
+
+    def on_confirmed(self) -> None:
+        """A valid answer has confirmed or changed the list."""
+        if self.reported_silent:
+            self.reported_silent = False
+            self.log_event(
+                "discovery answers again", list=self.list_number, silent_s=round(self.list_age_s, 3)
+            )
+        self.answered_at = self.loop.now()
--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -225,6 +225,14 @@
         if connection in self.connections:
             self.connections.remove(connection)
         self.owner.counts[f"link_{reason}{'' if connection.connected else '_new'}"] += 1
+        self.owner.log_event(
+            "server connection closed",
+            server=self.id,
+            why=reason,
+            connected=connection.connected,
+            open_set_ups=len(connection.open_attempts),
+            idle_s=round(now - connection.last_used_at, 3),
+        )
         ended_by_server = connection.connected and reason in ENDED_BY_SERVER
         if connection.connected:
             self.last_connection_reset = reason == "reset"
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -58,6 +58,7 @@
         self.departing: dict[int, Session] = {}
         # Releases of unknown refs: when, from which server (empty: from a viewer), the cause.
         self.early_releases: dict[str, tuple[float, str, int]] = {}
+        self.list_age_s: Callable[[], float] = lambda: 0.0  # since the list was last confirmed
         viewers.on_set_up, viewers.on_down, viewers.on_disconnected = (
             self.accept_set_up,
             self.on_viewer_down,
@@ -329,6 +330,14 @@
             attempt.timer.cancel()
         self.counts[f"ended_{outcome.name.lower()}"] += 1
         took_ms = (self.loop.now() - attempt.started_at) * 1000
+        self.log_event(
+            "attempt failed",
+            ref=session.ref,
+            attempt=attempt.number,
+            server=attempt.server.id,
+            outcome=outcome.name.lower(),
+            took_ms=round(took_ms, 1),
+        )
         self.bridge.enqueue(
             interface.AttemptEnded(
                 session.number, attempt.number, attempt.server.number, outcome, False, took_ms, load
@@ -392,6 +401,13 @@
         attempt = session.attempt = Attempt(session, number, server, now)
         attempt.timer = self.loop.call_later(timeout_s, self.on_attempt_timeout, attempt)
         self.counts["attempts"] += 1
+        if (list_age_s := self.list_age_s()) > bounds.DISCOVERY_SILENCE_S:
+            self.log_event(
+                "attempt on a list that is not confirmed",
+                ref=session.ref,
+                server=server.id,
+                list_age_s=round(list_age_s, 3),
+            )
         server.submit_attempt(attempt)
 
     def set_rung(self, action: interface.SetRung) -> None:
@@ -426,6 +442,12 @@
             return
         self.counts[counter] += 1
         viewer, attempt = session.viewer, session.attempt
+        self.log_event(
+            f"set-up {counter}",
+            ref=session.ref,
+            attempts=session.attempt_count,
+            left_ms=round((session.deadline - self.loop.now()) * 1000),
+        )
         self.remove(session)
         if attempt:
             self.stop_waiting(attempt)
--- a/lemonhall/front/node/viewers.py
+++ b/lemonhall/front/node/viewers.py
@@ -66,6 +66,11 @@
             if len(self.open_sessions) >= bounds.MAX_OPEN_SET_UPS or not owner.on_set_up(self, message):
                 # An answer under a ref in use would be a second answer to that set-up, so close instead.
                 owner.counts["bad_id"] += 1
+                owner.log_event(
+                    "closing a viewer connection: id in use or too many open set-ups",
+                    ref=message.ref,
+                    open_set_ups=len(self.open_sessions),
+                )
                 self.close_lingering()
         elif isinstance(message, Down):
             owner.on_down(self, message)
@@ -132,6 +137,10 @@
         self.stream.abort()
 
     def on_closed(self, reason: str) -> None:
+        if self.open_sessions:
+            self.owner.log_event(
+                "viewer connection closed with open set-ups", why=reason, open_set_ups=len(self.open_sessions)
+            )
         self.owner.on_connection_closed(self)
 
 
@@ -294,5 +303,9 @@
                 connection.read_pending()
                 if connection.open_sessions or (idle and connection.last_used_at > last_used_at):
                     continue  # a set-up was unread and has been accepted
-                self.counts["closed_half" if partial else "closed_silent" if silent else "closed_idle"] += 1
+                why = "half" if partial else "silent" if silent else "idle"
+                self.counts[f"closed_{why}"] += 1
+                self.log_event(
+                    "closing a viewer connection", why=why, idle_s=round(now - connection.last_used_at, 3)
+                )
                 connection.close_lingering()
--- a/lemonhall/node/bounds.py
+++ b/lemonhall/node/bounds.py
@@ -41,6 +41,7 @@
 
 DNS_QUERY_INTERVAL_S = 0.4  # a reported change must be known after 1.5 s: three responses may get lost
 DNS_QUERY_TIMEOUT_S = 0.25
+DISCOVERY_SILENCE_S = 2.0  # without a valid answer, until the log says so
 DNS_MAX_TIMEOUT_S = 0.8  # after back-off, while no query is answered
 MAX_DNS_RESPONSE_BYTES = 8 * 1024  # protocol: 8,000
 
