--- a/tests/node/running.py
+++ b/tests/node/running.py
@@ -34,6 +34,7 @@
         env = {**os.environ, "PROXY_CONFIG": str(self.path), **env}
         self.child = subprocess.Popen(command or NODE_COMMAND, cwd=ROOT, env=env, stderr=self.log)
         self.viewer: Peer | None = None
+        self.request_count = 0
         self.run_until(self.connect_viewer)
 
     def write_configuration(self, resolver: FakeResolver) -> None:
@@ -82,6 +83,16 @@
         self.run_until(arrived)
         return {"connection": found[-1][0], "ref": ref}
 
+    def servers_of_set_ups(self, count: int) -> list[FakeServer]:
+        """Requests `count` set-ups on a new connection; returns the server that each arrived at."""
+        self.run_until(self.connect_viewer)
+        chosen = []
+        for _ in range(count):
+            self.request_count += 1
+            connection = self.request_set_up(f"{self.request_count:016x}")["connection"]
+            chosen += [server for server in self.servers if connection in server.connections]
+        return chosen
+
     def answer(self, set_up: dict[str, Any]) -> None:
         set_up["connection"].send_data({"t": "up", "ref": set_up["ref"], "f": {}, "d": "v=0"})
         viewer = self.viewer
--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -175,9 +175,17 @@
 
 
 class FakeResolver:
-    """The resolver: answers each query with the server list, passed through `alter_response`."""
+    """The resolver: answers each query with the server list, passed through `alter_response`.
 
-    def __init__(self) -> None:
+    An answer is sent `answer_delay(n)` seconds after the n-th query, or never if that is infinite, and holds
+    the list as it stands when it is sent.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
+        self.answer_delay: Callable[[int], float] = lambda query: 0.0
+        self.waiting_queries: list[tuple[float, bytes, Any]] = []  # due time, query, sender
+        self.answered_numbers: list[int] = []  # list numbers of the answers sent, in order
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(("127.0.0.1", 0))
         self.sock.setblocking(False)
@@ -192,12 +200,20 @@
             try:
                 data, peer = self.sock.recvfrom(4096)
             except OSError:
-                return
+                break
             self.query_count += 1
-            if (
-                response := self.alter_response(build_response(data, self.list_number, self.servers))
-            ) is not None:
-                self.sock.sendto(response, peer)
+            due_at = self.clock() + self.answer_delay(self.query_count)
+            self.waiting_queries.append((due_at, data, peer))
+        for waiting in sorted(self.waiting_queries, key=lambda waiting: waiting[0]):
+            if waiting[0] <= self.clock():
+                self.waiting_queries.remove(waiting)
+                self.send_answer(*waiting[1:])
+
+    def send_answer(self, query: bytes, peer: Any) -> None:
+        response = self.alter_response(build_response(query, self.list_number, self.servers))
+        if response is not None:
+            self.sock.sendto(response, peer)
+            self.answered_numbers.append(self.list_number)
 
 
 def build_response(query: bytes, list_number: int, servers: list[FakeServer]) -> bytes:
@@ -231,7 +247,7 @@
         self.now = 1000.0
         self.acknowledges = acknowledges
         self.handed_over_refs: set[str] = set()  # handed-over sessions, which get no answer
-        self.fake_resolver = FakeResolver()
+        self.fake_resolver = FakeResolver(lambda: self.now)
         if not resolver_answers:
             self.fake_resolver.alter_response = lambda data: None
         self.servers = [FakeServer(f"s-{n:08x}", n) for n in range(servers)]
