After a fault the next answer of discovery is reported as a complete list

Change: the number is noted after the report; after any fault the next answer is reported as a complete list even if its bytes are the same; a removed server stays in the node's table until its sessions have been ended. Two tests inject a fault into the report and into the decider: both failed before and pass. tests/node: 397 passed.

--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -104,6 +104,7 @@
     def on_callback_error(self, error: Exception) -> None:
         """Keeps the node running, and its sessions playing, after a fault in the handling of one message."""
         self.counts["faults"] += 1
+        self.request_full_list()
         trace = error.__traceback__
         while trace and trace.tb_next:
             trace = trace.tb_next
@@ -115,12 +116,17 @@
 
     # Server list
 
+    def request_full_list(self) -> None:
+        """Reports the next answer as a complete list: the decider may not have received an earlier one."""
+        self.list_confirmed = False
+        self.resolver.forget_last_response()
+
     def on_list(self, list_number: int, servers: tuple[ListedServer, ...]) -> None:
         """Reports the first response as a complete list: it confirms or replaces the list of the start."""
         changed, removed = list_changes(self.listed_servers, servers)
         if not self.list_confirmed:
-            self.list_confirmed = True
             self.report_list(interface.ListKind.FULL, list_number, servers, removed)
+            self.list_confirmed = True
         elif changed or removed:
             self.report_list(interface.ListKind.CHANGES, list_number, changed, removed)
 
@@ -150,7 +156,6 @@
             state = interface.ServerState.DRAINING if entry.draining else interface.ServerState.READY
             reported.append(self.make_server(entry, server.number, state))
         for entry in removed:
-            del self.listed_servers[entry.id]
             if kind is interface.ListKind.CHANGES:  # a complete list reports it by omission
                 server = self.servers.get_or_add(entry.id)
                 reported.append(self.make_server(entry, server.number, interface.ServerState.GONE))
@@ -170,6 +175,7 @@
             server = self.servers.get_or_add(entry.id)
             server.listed = False
             server.lose_sessions(LossReason.GONE)
+            del self.listed_servers[entry.id]
             self.servers.remove_if_unused(server)
 
     def make_server(self, entry: ListedServer, number: int, state: interface.ServerState) -> interface.Server:
--- a/lemonhall/front/node/resolver.py
+++ b/lemonhall/front/node/resolver.py
@@ -59,6 +59,10 @@
             self.schedule = QuerySchedule(self.loop.now(), self.random)
             self.send_query()
 
+    def forget_last_response(self) -> None:
+        """The next response is reported even if it is the same again."""
+        self.last_response = b""
+
     def close(self) -> None:
         """Ends the queries."""
         if self.timer:
--- a/tests/node/test_resolver.py
+++ b/tests/node/test_resolver.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
+from lemonhall import interface
 from lemonhall.node import bounds
 from tests.node.world import FakeResolver, World
 
@@ -145,3 +147,35 @@
     drain(world)
     world.advance(bounds.DNS_MAX_RETRY_S * bounds.DNS_MAX_JITTER + 0.1)
     assert ("s-00000000", True) in list_state(world)
+
+
+# Guards against a change of the list that is lost for good because a fault ended its handling half way.
+@pytest.mark.parametrize("part", ["list", "decider"])
+def test_a_list_that_was_lost_in_a_fault_is_reported_again(world: World, part: str) -> None:
+    errors: list[Exception] = []
+    node = world.node
+    world.loop.on_error = lambda error: (errors.append(error), node.on_callback_error(error))
+    node.on_callback_error = type(node).on_callback_error.__get__(node)  # type: ignore[method-assign]
+
+    def fail_once(*_: object) -> None:
+        owner, name = (node, "make_server") if part == "list" else (node.bridge.decider, "handle")
+        delattr(owner, name)  # the class's own is back
+        raise RuntimeError("injected")
+
+    drain(world)
+    if part == "list":
+        node.make_server = fail_once  # type: ignore[method-assign,assignment]
+    else:
+        report_list = node.report_list
+
+        def report_and_fail(*arguments: Any) -> None:
+            del node.report_list
+            report_list(*arguments)
+            node.bridge.decider.handle = fail_once  # type: ignore[method-assign,assignment]
+
+        node.report_list = report_and_fail  # type: ignore[method-assign]
+    world.advance(bounds.DNS_QUERY_INTERVAL_S + 2.0)
+    assert len(errors) == 1 and node.counts["faults"] == 1
+    tracked = node.bridge.decider.tracked_servers  # type: ignore[attr-defined]
+    draining = [n for n, server in tracked.items() if server.entry.state is interface.ServerState.DRAINING]
+    assert draining == [node.servers.by_id["s-00000000"].number]
