Set-ups that wait are withdrawn from a server that drains or is gone

Change: what was not handed to the kernel ends as never sent when the drain or the removal is told, and the decider places it elsewhere in the same call.

--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -144,6 +144,7 @@
             moved = server.address != (entry.host, entry.port)
             restarted = server.listed and entry.started_ms != server.started_ms
             server.address, server.listed = (entry.host, entry.port), True
+            server.draining = entry.draining
             server.started_ms = entry.started_ms
             if moved:
                 server.on_address_changed()
@@ -170,10 +171,14 @@
             gone_ids=[entry.id for entry in removed][:MAX_LOGGED_IDS],
         )
         self.bridge.enqueue(interface.ServerList(kind, list_number, tuple(reported)))
-        # After the report, so that the decider sees these sessions end on a server that is gone.
+        # After the report, so that the decider sees attempts and sessions end on a server that takes no more.
+        for entry in changed:
+            if entry.draining:
+                self.servers.get_or_add(entry.id).withdraw_unsent_attempts()
         for entry in removed:
             server = self.servers.get_or_add(entry.id)
             server.listed = False
+            server.withdraw_unsent_attempts()
             server.lose_sessions(LossReason.GONE)
             del self.listed_servers[entry.id]
             self.servers.remove_if_unused(server)
--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -116,7 +116,7 @@
     def __init__(self, owner: MediaServers, server_id: str, number: int) -> None:
         self.owner, self.id, self.number = owner, server_id, number
         self.address: tuple[str, int] = ("", 0)
-        self.listed = False
+        self.listed = self.draining = False
         self.started_ms = 0.0
         self.connections: list[ServerConnection] = []
         self.waiting_attempts: deque[Attempt] = deque()  # for a connection with room
@@ -130,6 +130,10 @@
         self.connect_started_at = NEVER
         self.command_retry_s = bounds.RECONNECT_INTERVAL_S  # until the next connection for waiting commands
 
+    @property
+    def takes_set_ups(self) -> bool:
+        return self.listed and not self.draining
+
     @property
     def is_connecting(self) -> bool:
         return any(not connection.connected for connection in self.connections)
@@ -266,7 +270,7 @@
                 # The server may have answered: then it holds the session, which belongs to no connection.
                 self.send_give_up(attempt)
                 self.owner.on_attempt_ended(attempt, Outcome.RESET, ())
-            elif attempt.moves < 1:
+            elif attempt.moves < 1 and self.takes_set_ups:
                 attempt.moves += 1  # the same attempt goes to another connection
                 attempt.connection = None
                 self.waiting_attempts.append(attempt)
@@ -300,6 +304,18 @@
         for attempt in waiting:
             self.owner.on_attempt_ended(attempt, Outcome.CONNECT_FAILED, ())
 
+    def withdraw_unsent_attempts(self) -> None:
+        """Ends the attempts of which nothing was sent: a server that drains or is gone gets no new work."""
+        unsent, self.waiting_attempts = list(self.waiting_attempts), deque()
+        for connection in self.connections:
+            for attempt in list(connection.open_attempts.values()):
+                if connection.cancel_set_up(attempt):
+                    del connection.open_attempts[attempt.session.ref]
+                    attempt.connection = None
+                    unsent.append(attempt)
+        for attempt in unsent:
+            self.owner.on_attempt_ended(attempt, Outcome.MOOT, ())
+
     def lose_sessions(self, reason: LossReason, before: float = float("inf")) -> None:
         """Ends the sessions that were set up here before a time: the server can no longer report them."""
         lost = [
