A server that took over an address is heard on connections of the id before it

The node reached the new process under the old id, kept that connection for a set-up, and ignored the release of a session that it had set up under the new id, since the connection belonged to the old one; the viewer was not told within 1 s. Cause: messages on a session counted only on connections of its server's id. Change: also on those to its server's present address, where the same process answers.

--- a/lemonhall/front/node/session.py
+++ b/lemonhall/front/node/session.py
@@ -45,6 +45,7 @@
 
     id: str
     number: int
+    address: tuple[str, int]
     pending_commands: dict[tuple[str, str], bytes]
 
     def give_up_attempt(self, attempt: Attempt) -> bool: ...
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -35,6 +35,14 @@
 from lemonhall.node.messages import Down, NewSetUp, Note, Up
 
 
+def is_holder(connection: ServerConnection, attempt: Attempt) -> bool:
+    """Whether the server of an attempt may send on a connection: its own, or one to its address.
+
+    A server that took over an address is also reached on connections that were opened under the id before.
+    """
+    return connection.server is attempt.server or connection.address == attempt.server.address
+
+
 class Sessions:
     """All sessions of the node: turns messages into events of the decider and its actions into messages."""
 
@@ -292,13 +300,9 @@
         if session is None:
             self.remember_early_release(down.ref, connection.server.id, down.cause)
             return
-        if (
-            not session.established
-            or session.attempt is None
-            or session.attempt.server is not connection.server
-        ):
+        if not session.established or session.attempt is None or not is_holder(connection, session.attempt):
             return
-        connection.server.on_session_message()
+        session.attempt.server.on_session_message()
         outcome = outcome_after_answer(down.cause)
         if outcome is not Outcome.CANCELLED:  # 31: the viewer has ended the session and expects no release
             self.viewers.release_session(session, messages.encode_down(session.ref, down.cause))
@@ -309,11 +313,11 @@
         if session is None or not session.established or session.attempt is None:
             self.counts["note_unknown"] += 1
             return
-        if session.attempt.server is not connection.server:
+        if not is_holder(connection, session.attempt):
             return
-        connection.server.on_session_message()
+        session.attempt.server.on_session_message()
         self.counts["notes"] += 1
-        server_number = connection.server.number
+        server_number = session.attempt.server.number
         if note.kind == interface.NoteKind.RUNG:
             session.rung = int(note.value)
         self.bridge.enqueue(
--- a/tests/node/test_liveness.py
+++ b/tests/node/test_liveness.py
@@ -326,3 +326,25 @@
     assert state.presumed_loss(lost_at + 0.01, has_address=True) is LossReason.UNREACHABLE
     state.on_connected(lost_at)
     assert state.presumed_loss(lost_at + 0.01, has_address=True) is None
+
+
+# Guards against ends that are ignored because the server's process is reached under the id before it as well.
+@pytest.mark.parametrize("message", ["release", "note"])
+def test_a_server_that_took_over_an_address_is_heard_on_older_connections(
+    worlds: Callable[..., World], message: str
+) -> None:
+    world = worlds(servers=1)
+    server = world.servers[0]
+    _, older, _ = world.wait_for_set_up(world.request_set_up(left="4000")["ref"])  # keeps the connection open
+    server.name = "s-00000009"
+    world.fake_resolver.list_number += 1
+    world.node.resolver.send_query()
+    world.run_until(lambda: "s-00000009" in world.node.servers.by_id)
+    ref, _, connection = world.establish_session()
+    assert connection is not older and not older.closed
+    if message == "release":
+        older.send_data(down(ref, 16))
+        world.run_until(lambda: world.messages_for(ref, "down"))
+    else:
+        older.send_data(note(ref))
+        world.run_until(lambda: world.node.counts["notes"])
