--- a/tests/node/test_liveness.py
+++ b/tests/node/test_liveness.py
@@ -348,3 +348,22 @@
     else:
         older.send_data(note(ref))
         world.run_until(lambda: world.node.counts["notes"])
+
+
+# Guards against sessions that outlive their process because one of its connections, not accepted, ended in order.
+def test_an_unused_connection_that_ends_in_order_behind_a_reset_hides_no_end_of_the_process(
+    worlds: Callable[..., World],
+) -> None:
+    world = worlds(servers=1)
+    server = world.servers[0]
+    ref, _, connection = world.establish_session()
+    world.node.servers.by_id[server.name].open_connection()
+    world.run_until(lambda: len(server.connections) == 2)
+    unused = server.connections[1]
+    server.refuse_connections()
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    connection.close()
+    world.pump()
+    unused.close()
+    world.advance(2 * bounds.RECONNECT_INTERVAL_S + SWEEP_S)
+    world.run_until(lambda: world.messages_for(ref, "down"))
