A release that crosses the close of an idle connection to its server is heard

The release was lost, the next connection was open already, and the viewer was not told within 8 s. Cause: an idle connection was closed on both sides at once. Change: while sessions stand at the server, only the sending side is ended; the node hears what comes until the server ends its side, for 8 s at most. Such connections count among the descriptors and make way first. Two tests failed before and pass. tests/node, tests/loop, tests/test_soak.py: 445 passed.

--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -79,7 +79,7 @@
 
     @property
     def takes_commands(self) -> bool:
-        return self.connected and self.stream.open and not self.stream.closing
+        return self.connected and self.stream.open and not (self.stream.closing or self.stream.writing_ended)
 
     def send(self, line: bytes) -> None:
         self.last_used_at = self.server.owner.loop.now()
@@ -119,6 +119,7 @@
         self.listed = self.draining = False
         self.started_ms = 0.0
         self.connections: list[ServerConnection] = []
+        self.retired_connections: list[ServerConnection] = []  # idle ones that we have ended
         self.waiting_attempts: deque[Attempt] = deque()  # for a connection with room
         self.sending_waiting = False  # `send_waiting_attempts` is running
         # Commands for established sessions that wait for a connection, by session and kind.
@@ -227,6 +228,9 @@
 
     def on_connection_closed(self, connection: ServerConnection, reason: str) -> None:
         now = self.owner.loop.now()
+        if connection in self.retired_connections:
+            self.retired_connections.remove(connection)
+            return
         if connection in self.connections:
             self.connections.remove(connection)
         self.owner.counts[f"link_{reason}{'' if connection.connected else '_new'}"] += 1
@@ -469,7 +473,16 @@
                 self.open_connection()  # the idle connection is closed once its replacement is up
             elif connection.stream.read_pending() and self.is_idle(connection, now):
                 # A message of the server may have been unread.
-                connection.stream.close()
+                self.end_connection(connection)
+
+    def end_connection(self, connection: ServerConnection) -> None:
+        """Ends an idle connection, and hears what the server has sent on it until it ends it as well."""
+        if not self.established_sessions:
+            connection.stream.close()
+            return
+        self.connections.remove(connection)
+        self.retired_connections.append(connection)
+        connection.stream.end_writing(bounds.RETIRED_CONNECTION_S)
 
 
 class MediaServers:
@@ -526,7 +539,7 @@
             return
         self.by_id.pop(server.id, None)
         self.by_number.pop(server.number, None)
-        for connection in list(server.connections):
+        for connection in [*server.connections, *server.retired_connections]:
             # The last message may be a release, which has to arrive.
             connection.stream.close_lingering(bounds.LINGER_TIMEOUT_S)
 
@@ -540,13 +553,19 @@
 
     @property
     def connection_count(self) -> int:
-        return sum(len(server.connections) for server in self.by_id.values())
+        return sum(
+            len(server.connections) + len(server.retired_connections) for server in self.by_id.values()
+        )
 
     def make_room_for_connection(self) -> bool:
         """Whether one more connection is allowed; closes the one that has been idle longest if necessary."""
         connections = [connection for server in self.by_id.values() for connection in server.connections]
-        if len(connections) < self.max_connections:
+        if self.connection_count < self.max_connections:
             return True
+        for server in self.by_id.values():
+            if server.retired_connections:
+                server.retired_connections[0].stream.abort()
+                return True
         idle = [
             connection for connection in connections if connection.connected and not connection.open_attempts
         ]
--- a/lemonhall/loop/stream.py
+++ b/lemonhall/loop/stream.py
@@ -61,7 +61,7 @@
         self.backlog_bytes = 0
         self.bytes_written = self.bytes_read = 0
         self.open, self.connecting, self.reading_paused = True, connecting, False
-        self.closing = self.above_high_watermark = False
+        self.closing = self.above_high_watermark = self.writing_ended = False
         self.write_failed = False  # the peer is gone, and `on_closed` has not been called yet
         self.discarded_bytes: int | None = None  # since `close_lingering` was called
         self.io_suspended = io_suspended  # neither read nor written: the socket may move to another process
@@ -177,7 +177,7 @@
 
     def write(self, data: bytes | memoryview) -> None:
         """Sends what the kernel takes now and queues a copy of the rest; does nothing on a closed stream."""
-        if not self.open or self.closing:
+        if not self.open or self.closing or self.writing_ended:
             return
         sent = 0
         if not self.send_queue and not self.connecting and not self.io_suspended:
@@ -268,6 +268,21 @@
         else:
             self._end_sending()
 
+    def end_writing(self, within_s: float) -> None:
+        """Shuts down the sending side and goes on reading until the peer closes or `within_s` has passed.
+
+        For a stream without queued writes; what is written afterwards is dropped.
+        """
+        if not self.open or self.closing:
+            return
+        self.writing_ended = True
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._close("reset")
+            return
+        self._timer = self.loop.call_later(within_s, self._close, "local")
+
     def _end_sending(self) -> None:
         if self.discarded_bytes is None:
             self._close("local")
--- a/tests/node/test_liveness.py
+++ b/tests/node/test_liveness.py
@@ -350,7 +350,7 @@
         world.run_until(lambda: world.node.counts["notes"])
 
 
-# Guards against sessions that outlive their process because one of its connections, not accepted, ended in order.
+# Guards against sessions that outlive their process because a connection of it, not accepted, ended in order.
 def test_an_unused_connection_that_ends_in_order_behind_a_reset_hides_no_end_of_the_process(
     worlds: Callable[..., World],
 ) -> None:
@@ -367,3 +367,31 @@
     unused.close()
     world.advance(2 * bounds.RECONNECT_INTERVAL_S + SWEEP_S)
     world.run_until(lambda: world.messages_for(ref, "down"))
+
+
+# Guards against a release that is lost because it was sent while the node closed that connection as idle.
+def test_a_release_that_crosses_the_close_of_an_idle_connection_is_heard(
+    worlds: Callable[..., World],
+) -> None:
+    world = worlds(servers=1)
+    server = world.servers[0]
+    ref, _, connection = world.establish_session()
+    world.advance(bounds.IDLE_TIMEOUT_FRACTION * 15.0 + 2 * SWEEP_S)
+    world.run_until(lambda: connection.closed)  # replaced, and ended by the node
+    connection.sock.sendall(json.dumps(down(ref, 16)).encode() + b"\n")
+    world.run_until(lambda: world.messages_for(ref, "down"))
+    retired = world.node.servers.by_id[server.name].retired_connections
+    count = len(retired)
+    connection.sock.close()
+    world.run_until(lambda: len(retired) < count)
+
+
+def test_a_connection_that_its_server_does_not_close_ends_after_a_while(worlds: Callable[..., World]) -> None:
+    world = worlds(servers=1)
+    server = world.servers[0]
+    _, _, connection = world.establish_session()
+    world.advance(bounds.IDLE_TIMEOUT_FRACTION * 15.0 + 2 * SWEEP_S)
+    world.run_until(lambda: connection.closed)
+    first = world.node.servers.by_id[server.name].retired_connections[0]
+    world.advance(bounds.RETIRED_CONNECTION_S + SWEEP_S)
+    assert not first.stream.open
