--- a/lemonhall/cli/__init__.py
+++ b/lemonhall/cli/__init__.py
@@ -12,7 +12,7 @@
 
 BAD_INPUT = 2
 COMMANDS = ["capture", "config", "day", "halls", "hooks", "import", "limits", "members", "model"]
-COMMANDS += ["replay", "serve", "standin", "store", "why"]
+COMMANDS += ["replay", "serve", "soak", "standin", "store", "why"]
 NAMED = {  # those that do not stand in a file of their name: file and command
     "import": ("importing", "importing"),
     "replay": ("capture", "replay"),
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -18,6 +18,7 @@
     "node": 3,
     "front": 4,
     "standins": 4,
+    "soak": 5,  # plays front nodes as processes among stand-ins of its own
     "links": 5,  # a stand-in that uses the tap and the commands of `standins`
     "model": 5,  # plays days and audits them; only the command line imports it
     "audit": 4,
