--- a/lemonhall/cli/soak.py
+++ b/lemonhall/cli/soak.py
@@ -45,6 +45,9 @@
     exercised.update(trial.exercised)
     exercised["requests"] += len(trial.record.requests)
     exercised["set-ups at servers"] += len(trial.record.set_ups)
+    if keep:
+        text = json.dumps(asdict(trial.record), indent=1)
+        (keep / "record.json").write_text(text, encoding="utf-8")
     void = is_void(schedule, trial.record.longest_stall_s)
     broken = [] if void else judge(trial.record, schedule.site)
     verdict = "void" if void else "broken" if broken else "held"
--- a/lemonhall/soak/judge.py
+++ b/lemonhall/soak/judge.py
@@ -137,6 +137,8 @@
     """What has stood and is over is released towards its viewer."""
     if not request.answers or request.answers[0][1] != "up":
         return []
+    if request.given_up_at < NEVER:
+        return []  # "ended by its viewer, who is owed no release"; the give-up crossed the answer
     found = []
     if len(request.released_at) > 1:
         found.append(_broken("released_twice", request, f"{len(request.released_at)} releases"))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -155,6 +155,10 @@
     record.processes[0].terminated_at = 16.0
     assert rules(record) == ["lost"]
     record = make_record()
+    late_release(record)
+    record.requests[REF].given_up_at = 20.19  # it crossed the answer: the viewer has ended the session
+    assert rules(record) == []
+    record = make_record()
     out_at_two(record)
     record.set_ups[0].unread_since = 20.1  # it hung: the give-up may have arrived any time after
     assert "two_at_once" not in rules(record)
