--- a/lemonhall/soak/media_server.py
+++ b/lemonhall/soak/media_server.py
@@ -17,6 +17,7 @@
 from lemonhall.soak.settings import NOTE_INTERVAL_S
 
 LISTEN_BACKLOG = 256
+BIND_ATTEMPTS = 20
 BUFFERED_S = 0.05  # after a hang: what is read then had come before
 RELEASE_ARRIVES_S = 0.3  # a connection that ends sooner after a release may have lost it
 
@@ -83,15 +84,30 @@
         return bool(self.listeners)
 
     def start(self) -> None:
-        """Listens at its port again, or at a free one."""
+        """Listens at its port again, or at one that is free on the addresses of all nodes."""
+        for _ in range(BIND_ATTEMPTS):
+            try:
+                self.listen_at(self.port)
+                break
+            except OSError:
+                for sock in self.listeners:
+                    sock.close()
+                self.listeners.clear()
+                if self.port:
+                    raise
+        self.port = self.listeners[0].getsockname()[1]
+        for node, sock in enumerate(self.listeners):
+            self.accept_on(sock, node)
+
+    def listen_at(self, port: int) -> None:
+        """Raises `OSError` if the port is in use on one of the addresses."""
         for node in range(self.nodes):
             sock = socket.socket()
+            self.listeners.append(sock)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind((node_address(node), self.port))
-            self.port = sock.getsockname()[1]
+            sock.bind((node_address(node), port))
+            port = sock.getsockname()[1]
             sock.listen(LISTEN_BACKLOG)
-            self.listeners.append(sock)
-            self.accept_on(sock, node)
 
     def accept_on(self, sock: socket.socket, node: int) -> None:
         def accept(accepted: socket.socket, _: Any) -> None:
