--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -300,6 +300,7 @@
         self.sessions: dict[str, Stand] = {}  # that stand
         self.pending: dict[str, Stand] = {}  # set-ups
         self.set_ups: list[Stand] = []  # all that came
+        self.notes_sent = 0
         self.again: list[str] = []  # releases that go out on the next connection as well
         self.on_set_up: Callable[[Stand], bool] = lambda stand: True  # False: handled by the case
         self.describe: Callable[[Stand], str] = lambda stand: f"v=0\r\ns={stand.ref}\r\nc=IN IP4 {HOST}\r\n"
@@ -399,6 +400,7 @@
         while True:
             await asyncio.sleep(2.5)
             if self.sessions and (stand := random.choice(list(self.sessions.values()))):
+                self.notes_sent += 1
                 for kind in ("l", "u"):
                     if link := self.link_for(stand):
                         note = {"note": kind, "value": "0.1"}
