A set-up with under 1 ms left is answered as out of time and closes nothing

Cause: `left` below 1 was taken for a field out of range, so well-formed requests counted as invalid messages, the third of which closes the connection and gives up what is open on it.

Change: `left` from 0 on is well formed; under 1 ms the set-up is answered as failed at once and goes to neither decider nor media server.

--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -101,6 +101,10 @@
         if known is not None:
             self.counts["id_twice"] += 1
             return False
+        if set_up.left_ms < bounds.MIN_LEFT_MS:
+            self.counts["out_of_time"] += 1
+            viewer.send(messages.encode_down(set_up.ref, FAILED))
+            return True
         now = self.loop.now()
         floor = self.settings.classes[set_up.cls].floor
         deadline = now + set_up.left_ms / 1000 - bounds.answer_margin_s(set_up.left_ms / 1000)
--- a/lemonhall/node/bounds.py
+++ b/lemonhall/node/bounds.py
@@ -26,6 +26,7 @@
 MAX_EARLY_RELEASES = 1_000  # releases of unknown refs, kept because a handover may have crossed them
 EARLY_RELEASE_TTL_S = 8.0  # an ended session is released within 8 s
 
+MIN_LEFT_MS = 1.0  # of a set-up that is placed: media servers are told whole milliseconds
 ANSWER_MARGIN_S = 0.03  # before the viewer's deadline: time for the answer to travel
 ANSWER_MARGIN_FRACTION = 0.25  # of the time to the deadline at most: some customers' deadlines are short
 IDLE_TIMEOUT_FRACTION = 0.8  # of the server's idle timeout: we close first, never the server during a set-up
--- a/lemonhall/node/messages.py
+++ b/lemonhall/node/messages.py
@@ -49,7 +49,7 @@
     ref: str
     cls: int
     tenant: int
-    left_ms: float
+    left_ms: float  # under `bounds.MIN_LEFT_MS` there is no time for an attempt
     title: int
     viewer: int
     first_cell: int
@@ -256,7 +256,7 @@
         ref,
         cls,
         tenant,
-        parse_number(left, 0 if playing_at else 1, 1e9 if playing_at else max_left_ms, "left"),
+        parse_number(left, 0, 1e9 if playing_at else max_left_ms, "left"),
         _parse_hex_id(key, "key"),
         _parse_hex_id(extras.get("viewer"), "viewer"),
         parse_integer(extras.get("home", 0), 0, names.cells - 1, "home"),
