A set-up beyond the limit of a connection is refused alone

What callers saw: the 129th set-up open at once on a connection closed it, and the 128 before it got no answer.

Change: it is refused (34: it never ran), and nothing else is touched. A set-up under an id in use still closes. A handed-over session (`at`) is not open, so the limit does not concern it. test_open_set_ups_per_connection_are_limited asked for the close; it now asks for a refusal of each of the 32 beyond the limit, no more than 8 open, and answers to these 8 on the connection that is still there.

Measured: the changed test failed on the commit before and passes; test_rude, test_neighbours, test_crossings 26 passed.

--- a/lemonhall/front/node/viewers.py
+++ b/lemonhall/front/node/viewers.py
@@ -11,7 +11,7 @@
 from lemonhall.loop import Handler, Loop, Stream, listen
 from lemonhall.loop.stream import LISTEN_BACKLOG, accept_queued
 from lemonhall.node import bounds, messages
-from lemonhall.node.causes import BAD_MESSAGE
+from lemonhall.node.causes import BAD_MESSAGE, REFUSED
 from lemonhall.node.line_reader import LineReader, LineTooLong
 from lemonhall.node.messages import Ack, Down, Heartbeat, MessageError, NewSetUp, SettingsNames
 
@@ -63,15 +63,7 @@
             return
         self.sent_valid_message = True
         if isinstance(message, NewSetUp):
-            if len(self.open_sessions) >= bounds.MAX_OPEN_SET_UPS or not owner.on_set_up(self, message):
-                # An answer under a ref in use would be a second answer to that set-up, so close instead.
-                owner.counts["bad_id"] += 1
-                owner.log_event(
-                    "closing a viewer connection: id in use or too many open set-ups",
-                    ref=message.ref,
-                    open_set_ups=len(self.open_sessions),
-                )
-                self.close_lingering()
+            self.handle_set_up(message)
         elif isinstance(message, Down):
             owner.on_down(self, message)
         elif isinstance(message, Ack):
@@ -79,6 +71,22 @@
         elif isinstance(message, Heartbeat):
             self.send(messages.encode_heartbeat_reply(message.ref, owner.is_serving()))
 
+    def handle_set_up(self, set_up: NewSetUp) -> None:
+        owner = self.owner
+        is_full = len(self.open_sessions) >= bounds.MAX_OPEN_SET_UPS
+        if is_full and not set_up.playing_at and not owner.is_known_ref(set_up.ref):
+            owner.counts["refused_full_connection"] += 1
+            self.send(messages.encode_down(set_up.ref, REFUSED))
+        elif not owner.on_set_up(self, set_up):
+            # An answer under a ref in use would be a second answer to that set-up, so close instead.
+            owner.counts["bad_id"] += 1
+            owner.log_event(
+                "closing a viewer connection: id in use",
+                ref=set_up.ref,
+                open_set_ups=len(self.open_sessions),
+            )
+            self.close_lingering()
+
     def reject_message(self, error: MessageError) -> None:
         """Answers with an error under the message's ref if that ref is not in use, else closes."""
         owner = self.owner
