Connections with sessions are not idle; releases reach viewers that have nothing to say

Cause: a connection without a message for 30 s was closed although a session stood on it, and releases passed over every connection without a valid message, which is what a viewer that comes back and only waits opens.

Change: the idle time counts only where no session stands; such connections are evicted last; a release that has waited 0.5 s goes on the newest silent connection too, and waits on for a better one until 8 s are over.

--- a/lemonhall/front/node/session.py
+++ b/lemonhall/front/node/session.py
@@ -13,6 +13,7 @@
     """The connection on which a set-up arrived."""
 
     open_sessions: dict[str, Session]
+    established_sessions: dict[str, Session]
     unsent_answers: list[tuple[int, Session]]
     stream: Stream
     proven: bool
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -149,6 +149,7 @@
         session.attempt_count, session.established = 1, True
         session.attempt = Attempt(session, 0, server, self.loop.now())
         server.add_session(session)
+        viewer.established_sessions[session.ref] = session
         self.established_count += 1
         self.counts["handed_over"] += 1
         self.bridge.enqueue(
@@ -240,6 +241,7 @@
         self.by_number.pop(session.number, None)
         if session.viewer:
             session.viewer.open_sessions.pop(session.ref, None)
+            session.viewer.established_sessions.pop(session.ref, None)
 
     # Messages from media servers
 
@@ -274,6 +276,7 @@
         self.counts["took_ms"] += int(took_ms)
         if session.viewer:
             session.viewer.open_sessions.pop(session.ref, None)
+            session.viewer.established_sessions[session.ref] = session
             session.viewer.proven = True
         server_number = attempt.server.number
         self.bridge.enqueue(
--- a/lemonhall/front/node/viewers.py
+++ b/lemonhall/front/node/viewers.py
@@ -5,6 +5,8 @@
 import socket
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import dataclass
+from enum import IntEnum
 from typing import Any
 
 from lemonhall.front.node.session import Session
@@ -16,6 +18,29 @@
 from lemonhall.node.messages import Ack, Down, Heartbeat, MessageError, NewSetUp, SettingsNames
 
 FOREVER = float("inf")
+
+
+class Trust(IntEnum):
+    """How far a connection is known to belong to somebody who reads releases."""
+
+    NONE = 0
+    VALID_MESSAGE = 1  # it has sent one
+    PROVEN = 2  # a session was established through it
+
+
+@dataclass(slots=True)
+class WaitingRelease:
+    """The end of an established session for which no proven connection was open."""
+
+    line: bytes
+    since: float
+    expires_at: float
+    sent_on: ViewerConnection | None = None  # the last connection without a valid message that got it
+
+    def needed_trust(self, now: float) -> Trust:
+        return Trust.PROVEN if now - self.since < bounds.PROVEN_CONNECTION_WAIT_S else Trust.VALID_MESSAGE
+
+
 MAX_INVALID_MESSAGES = 3  # on one connection; the last of them closes it
 
 
@@ -25,6 +50,7 @@
     def __init__(self, owner: ViewerConnections, sock: socket.socket) -> None:
         self.owner, self.line_reader = owner, LineReader()
         self.open_sessions: dict[str, Session] = {}  # set-ups that must still be answered here
+        self.established_sessions: dict[str, Session] = {}  # that were set up or handed over here
         self.unsent_answers: list[tuple[int, Session]] = []  # in the backlog, with the offset of their end
         # Releases sent here and not acknowledged: when, the offset of their end, the line.
         self.unacknowledged_releases: dict[str, tuple[float, int, bytes]] = {}
@@ -102,6 +128,12 @@
             return
         self.send(messages.encode_down(error.ref, BAD_MESSAGE))
 
+    @property
+    def trust(self) -> Trust:
+        if self.proven:
+            return Trust.PROVEN
+        return Trust.VALID_MESSAGE if self.sent_valid_message else Trust.NONE
+
     @property
     def usable(self) -> bool:
         return self.stream.open and not self.stream.closing
@@ -116,8 +148,9 @@
     def send_release(self, ref: str, line: bytes) -> None:
         """Remembers the release until it is acknowledged, or so old that it has arrived or never will."""
         self.send(line)
+        self.last_used_at = self.owner.loop.now()
         self.unacknowledged_releases[ref] = (
-            self.owner.loop.now(),
+            self.last_used_at,
             self.stream.bytes_written + self.stream.backlog_bytes,
             line,
         )
@@ -174,8 +207,7 @@
             log_event,
         )
         self.connections: dict[ViewerConnection, None] = {}
-        # Each with the time until which it waits for a proven connection, and the time at which it expires.
-        self.waiting_releases: deque[tuple[float, float, bytes]] = deque(maxlen=bounds.MAX_WAITING_RELEASES)
+        self.waiting_releases: deque[WaitingRelease] = deque(maxlen=bounds.MAX_WAITING_RELEASES)
         self.listener: socket.socket | None = None
         self.is_serving: Callable[[], bool] = lambda: True
         self.is_known_ref: Callable[[str], bool] = lambda ref: False
@@ -215,8 +247,8 @@
             idle,
             key=lambda connection: (
                 connection.usable,
-                connection.proven,
-                connection.sent_valid_message,
+                bool(connection.established_sessions),
+                connection.trust,
                 connection.last_used_at,
             ),
         ):
@@ -253,25 +285,20 @@
         self.send_release_elsewhere(line)
 
     def send_release_elsewhere(self, line: bytes, expires_at: float = FOREVER) -> None:
-        if other := self.best_connection(True):
+        if other := self.best_connection(Trust.PROVEN):
             other.send(line)
         else:
-            self.waiting_releases.append(
-                (self.loop.now() + bounds.PROVEN_CONNECTION_WAIT_S, expires_at, line)
-            )
+            self.waiting_releases.append(WaitingRelease(line, self.loop.now(), expires_at))
 
-    def best_connection(self, proven_only: bool) -> ViewerConnection | None:
-        """The most recently used connection that is proven or, if allowed, has sent a valid message."""
-        usable = [connection for connection in self.connections if connection.usable]
-        usable = [
-            connection
-            for connection in usable
-            if connection.proven or (connection.sent_valid_message and not proven_only)
+    def best_connection(self, needed: Trust) -> ViewerConnection | None:
+        """Of the connections that are trusted enough: the most trusted one, and of those the last used."""
+        candidates = [
+            connection for connection in self.connections if connection.usable and connection.trust >= needed
         ]
         return max(
-            usable,
+            candidates,
             key=lambda connection: (
-                connection.proven,
+                connection.trust,
                 -connection.invalid_message_count,
                 connection.last_used_at,
             ),
@@ -279,15 +306,37 @@
         )
 
     def send_waiting_releases(self, shutting_down: bool = False) -> None:
-        """During shutdown an unproven connection is better than none."""
-        while self.waiting_releases:
-            proven_only_until, expires_at, line = self.waiting_releases[0]
-            other = self.best_connection(self.loop.now() < proven_only_until and not shutting_down)
-            if self.loop.now() < expires_at:
-                if other is None:
-                    return
-                other.send(line)
-            self.waiting_releases.popleft()
+        """Sends what has waited long enough on the best connection there is.
+
+        Where that has never sent a valid message, it may be the quiet viewer's or an abusive client's, so the
+        release goes on waiting for a better one until it expires.
+        """
+        now = self.loop.now()
+        kept = []
+        for release in self.waiting_releases:
+            needed = Trust.NONE if shutting_down else release.needed_trust(now)
+            if now >= release.expires_at:
+                continue
+            if other := self.best_connection(needed):
+                other.send(release.line)
+                continue
+            kept.append(release)
+            if needed is Trust.VALID_MESSAGE:
+                self.send_untrusted(release)
+        self.waiting_releases.clear()
+        self.waiting_releases.extend(kept)
+
+    def send_untrusted(self, release: WaitingRelease) -> None:
+        """Sends a release on the newest connection without a valid message, once on each."""
+        other = self.best_connection(Trust.NONE)
+        if other is None or other is release.sent_on:
+            return
+        if self.loop.now() - other.connected_at < bounds.QUIET_CONNECTION_S:
+            return  # its first message may be on the way
+        self.counts["released_untrusted"] += 1
+        other.send(release.line)
+        release.sent_on = other
+        release.expires_at = min(release.expires_at, release.since + bounds.RELEASE_DEADLINE_S)
 
     def sweep(self) -> None:
         """Closes connections without a valid message, with an incomplete message, or idle for too long."""
@@ -303,9 +352,8 @@
                 not connection.sent_valid_message
                 and now - connection.connected_at > bounds.NO_MESSAGE_TIMEOUT_S
             )
-            idle = (
-                not connection.open_sessions and now - connection.last_used_at > bounds.VIEWER_IDLE_TIMEOUT_S
-            )
+            carries_sessions = connection.open_sessions or connection.established_sessions
+            idle = not carries_sessions and now - connection.last_used_at > bounds.VIEWER_IDLE_TIMEOUT_S
             if partial or silent or idle:
                 last_used_at = connection.last_used_at
                 connection.read_pending()
--- a/lemonhall/node/bounds.py
+++ b/lemonhall/node/bounds.py
@@ -14,12 +14,13 @@
 MAX_WAITING_RELEASES = 5_000  # kept until a viewer connection opens
 RELEASE_DEADLINE_S = 8.0  # after a session's end; later than that a release is lost and is not sent again
 PROVEN_CONNECTION_WAIT_S = 0.5  # of a release; an ended session must be released within 1 s
+QUIET_CONNECTION_S = 0.3  # after which a connection without a valid message may get a release
 
 NO_MESSAGE_TIMEOUT_S = (
     2.0  # for a viewer connection without any valid message, which must be closed within 3 s
 )
 PARTIAL_LINE_TIMEOUT_S = 2.0  # from the first byte of a message to its line feed, for the same reason
-VIEWER_IDLE_TIMEOUT_S = 30.0  # viewers close after 4 s without a session; this covers those that vanished
+VIEWER_IDLE_TIMEOUT_S = 30.0  # without a session: viewers close after 4 s; this covers those that vanished
 
 LINGER_TIMEOUT_S = 1.0  # after our close, input is read and discarded so that our last message arrives
 MAX_EARLY_RELEASES = 1_000  # releases of unknown refs, kept because a handover may have crossed them
