A connection to a media server that brings no answer is replaced and not used any more

Cause: signs of life counted for the server, whichever connection they came on; a connection with an unanswered set-up stayed in use, and was the first to be taken.

Change: 4 s without any data on a connection with an unanswered set-up mark it: nothing more is sent there, the releases it took are sent again, a new connection is opened where sessions stand, and it is ended when nothing is open on it. Data on it takes the mark back.

--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -32,8 +32,10 @@
         # Releases sent here recently: when, of which session, the line.
         self.recent_releases: deque[tuple[float, str, bytes]] = deque(maxlen=bounds.MAX_RECENT_RELEASES)
         owner = server.owner
-        self.last_used_at = owner.loop.now()
-        self.partial_since = 0.0
+        self.last_used_at = self.last_data_at = owner.loop.now()
+        # When the first set-up was sent that got no answer in time, if nothing has arrived here since.
+        self.unanswered_since: float | None = None
+        self.unresponsive = False  # nothing has arrived for so long that nothing more is sent here
         self.stream = Stream.connect(
             owner.loop,
             server.address,
@@ -54,7 +56,8 @@
 
     def on_data(self, view: memoryview) -> None:
         owner = self.server.owner
-        self.last_used_at = owner.loop.now()
+        self.last_used_at = self.last_data_at = owner.loop.now()
+        self.unanswered_since, self.unresponsive = None, False
         self.server.liveness.on_sign_of_life(self.last_used_at)
         self.line_reader.feed(view)
         try:
@@ -79,7 +82,8 @@
 
     @property
     def takes_commands(self) -> bool:
-        return self.connected and self.stream.open and not (self.stream.closing or self.stream.writing_ended)
+        can_write = self.stream.open and not (self.stream.closing or self.stream.writing_ended)
+        return self.connected and can_write and not self.unresponsive
 
     def send(self, line: bytes) -> None:
         self.last_used_at = self.server.owner.loop.now()
@@ -92,10 +96,28 @@
 
     def send_set_up(self, attempt: Attempt, line: bytes) -> None:
         attempt.connection, attempt.offset = self, self.stream.bytes_written + self.stream.backlog_bytes
-        attempt.line = line
+        attempt.line, attempt.sent_at = line, self.server.owner.loop.now()
         self.open_attempts[attempt.session.ref] = attempt
         self.send(line)
 
+    def on_answer_overdue(self, attempt: Attempt) -> None:
+        """A set-up that was sent here got no answer in time."""
+        if self.unanswered_since is None and self.last_data_at <= attempt.sent_at:
+            self.unanswered_since = attempt.sent_at
+
+    def is_silent(self, now: float) -> bool:
+        """Whether set-ups, answered neither in time nor yet, show that the connection carries nothing.
+
+        A media server that is slow for some seconds, or drops a set-up that has little time left, does not
+        make its connection silent: messages on other sessions arrive, or the set-up's time is over sooner.
+        """
+        unanswered = [attempt.sent_at for attempt in self.open_attempts.values()]
+        if self.unanswered_since is not None:
+            unanswered.append(self.unanswered_since)
+        if not unanswered:
+            return False
+        return now - max(min(unanswered), self.last_data_at) > bounds.UNRESPONSIVE_AFTER_S
+
     def was_sent(self, attempt: Attempt) -> bool:
         """Whether the kernel has taken any byte of the set-up: if not, it provably never ran."""
         return self.stream.bytes_written > attempt.offset
@@ -157,6 +179,7 @@
             fresh = now - connection.last_used_at < bounds.IDLE_TIMEOUT_FRACTION * owner.idle_timeout_s
             suitable = (
                 connection.connected
+                and not connection.unresponsive
                 and connection.address == self.address
                 and fresh
                 and len(connection.open_attempts) < owner.set_ups_per_connection
@@ -248,7 +271,7 @@
             self.liveness.on_sign_of_life(now)
             if self.last_connection_reset and self.established_sessions and not self.is_connected:
                 self.liveness.on_last_connection_reset(now)
-        self.repeat_recent_releases(connection, now)
+        self.repeat_recent_releases(connection, now - bounds.RESEND_WINDOW_S)
         self.end_open_attempts(connection)
         if not connection.connected and reason != "local":
             self.on_connect_failed(now, reason)
@@ -261,11 +284,13 @@
             # of our own, which may have made room for the connection of another server.
             self.reconnect_for_sessions(now)
 
-    def repeat_recent_releases(self, connection: ServerConnection, now: float) -> None:
-        for sent_at, ref, line in connection.recent_releases:
-            if now - sent_at < bounds.RESEND_WINDOW_S:
-                self.send_command(ref, REPEATED_DOWN, line)
+    def repeat_recent_releases(self, connection: ServerConnection, since: float) -> None:
+        """Sends on another connection the releases that were sent here after a time."""
+        releases = list(connection.recent_releases)
         connection.recent_releases.clear()
+        for sent_at, ref, line in releases:
+            if sent_at >= since:
+                self.send_command(ref, REPEATED_DOWN, line)
 
     def end_open_attempts(self, connection: ServerConnection) -> None:
         """Ends the set-ups that a broken connection carried, but for those of which nothing was sent."""
@@ -355,6 +380,11 @@
         else:
             self.send_command(session.ref, "down", line)
 
+    def on_answer_overdue(self, attempt: Attempt) -> None:
+        """The attempt is about to be given up because its time is over."""
+        if attempt.connection and attempt.connection.was_sent(attempt):
+            attempt.connection.on_answer_overdue(attempt)
+
     def give_up_attempt(self, attempt: Attempt) -> bool:
         """Stops waiting for an attempt, on a connection that stays; whether any of it may have been sent."""
         connection, attempt.connection = attempt.connection, None
@@ -421,6 +451,7 @@
             and not connection.open_attempts
             and (
                 outdated
+                or connection.unresponsive
                 or now - connection.last_used_at > bounds.IDLE_TIMEOUT_FRACTION * self.owner.idle_timeout_s
             )
         )
@@ -428,6 +459,7 @@
     def sweep(self, now: float) -> None:
         """Closes idle connections, keeps one to a server with established sessions, detects dead servers."""
         self.sweep_pending_commands(now)
+        self.find_unresponsive_connections(now)
         self.send_waiting_attempts()
         if self.waiting_attempts:
             self.reconnect(now)  # the last connect failed or took too long
@@ -453,16 +485,39 @@
             self.command_retry_s = min(2 * self.command_retry_s, bounds.MAX_RECONNECT_INTERVAL_S)
             self.open_connection()
 
+    def find_unresponsive_connections(self, now: float) -> None:
+        """Sends nothing more on connections that carry nothing, and repeats elsewhere what was sent there."""
+        for connection in list(self.connections):
+            if connection.unresponsive or not connection.is_silent(now):
+                continue
+            connection.unresponsive = True
+            self.owner.counts["unresponsive"] += 1
+            self.owner.log_event(
+                "server connection unresponsive; using others",
+                server=self.id,
+                silent_s=round(now - connection.last_data_at, 3),
+                open_set_ups=len(connection.open_attempts),
+            )
+            self.repeat_recent_releases(connection, connection.last_data_at)
+            if self.established_sessions:
+                # The server sends the releases that it has sent in vain also on the next connection opened.
+                self.open_connection()
+
     def close_idle_connections(self, now: float) -> None:
         for connection in list(self.connections):
             if not self.is_idle(connection, now):
                 continue
-            has_other = any(other is not connection and other.connected for other in self.connections)
+            has_other = any(
+                other is not connection and other.connected and not other.unresponsive
+                for other in self.connections
+            )
             if self.established_sessions and not has_other:
                 self.open_connection()  # the idle connection is closed once its replacement is up
             elif connection.stream.read_pending() and self.is_idle(connection, now):
                 # A message of the server may have been unread.
                 self.end_connection(connection)
+                if connection.unresponsive and self.established_sessions:
+                    self.open_connection()  # for the releases that were sent until this one ended
 
     def end_connection(self, connection: ServerConnection) -> None:
         """Ends an idle connection, and hears what the server has sent on it until it ends it as well."""
--- a/lemonhall/front/node/session.py
+++ b/lemonhall/front/node/session.py
@@ -36,6 +36,8 @@
 
     def was_sent(self, attempt: Attempt) -> bool: ...
 
+    def on_answer_overdue(self, attempt: Attempt) -> None: ...
+
     def cancel_set_up(self, attempt: Attempt) -> bool: ...
 
     def send_command(self, ref: str, kind: str, line: bytes) -> None: ...
@@ -51,6 +53,8 @@
 
     def give_up_attempt(self, attempt: Attempt) -> bool: ...
 
+    def on_answer_overdue(self, attempt: Attempt) -> None: ...
+
     def on_session_message(self) -> None: ...
 
     def add_session(self, session: Session) -> None: ...
@@ -69,6 +73,7 @@
         "moves",
         "number",
         "offset",
+        "sent_at",
         "server",
         "session",
         "started_at",
@@ -80,6 +85,7 @@
         self.connection: ServerConnectionProtocol | None = None
         self.offset = 0  # of its first byte among the bytes written to the connection
         self.line = b""  # as written to the connection
+        self.sent_at = started_at  # when it was written to the connection
         self.moves = 0  # to another connection, because one broke before the kernel took a byte of the line
         self.timer: Timer | None = None
 
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -357,6 +357,7 @@
 
     def on_attempt_timeout(self, attempt: Attempt) -> None:
         """A set-up that was never sent is reported as a failed connection: it provably did not run."""
+        attempt.server.on_answer_overdue(attempt)
         may_have_run = self.stop_waiting(attempt)
         self.end_attempt(attempt, Outcome.TIMEOUT if may_have_run else Outcome.CONNECT_FAILED)
 
--- a/lemonhall/node/bounds.py
+++ b/lemonhall/node/bounds.py
@@ -31,6 +31,9 @@
 ANSWER_MARGIN_FRACTION = 0.25  # of the time to the deadline at most: some customers' deadlines are short
 IDLE_TIMEOUT_FRACTION = 0.8  # of the server's idle timeout: we close first, never the server during a set-up
 RETIRED_CONNECTION_S = 8.0  # after our end of it: a release that the server sends on it still counts
+UNRESPONSIVE_AFTER_S = (
+    4.0  # without data on a connection with an unanswered set-up: 8 s less time to reconnect
+)
 MIN_SILENCE_S = 4.0  # of a server with established sessions, before a new connection probes it
 SERVER_LOST_AFTER_S = 6.5  # without evidence that its sessions go on: they are over (8 s by the protocol)
 MAX_NOTE_INTERVAL_S = SERVER_LOST_AFTER_S - 1.0  # of a server whose silence on a new connection counts
