A pass of the loop handles a bounded number of messages of each viewer and of all

What callers saw: beside one client that sent set-ups at full speed others got answers after up to 3.3 s; beside 400 clients that sent heartbeats after up to 6.1 s, where 4 s were left (trials on real processes, one each).

Cause: all of a connection's 16 KiB were handled at once, for every readable connection, and reading ahead for a disconnect handled more while set-ups were being sent: passes of 3.6 to 5.3 s.

--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -230,6 +230,11 @@
     def open_set_up_count(self) -> int:
         return sum(len(viewer.open_sessions) for viewer in self.viewers.connections)
 
+    @property
+    def has_unhandled_messages(self) -> bool:
+        """Whether messages of viewers were read and wait for the next pass."""
+        return any(viewer.deferred for viewer in self.viewers.connections)
+
     @property
     def has_unsent_messages(self) -> bool:
         """Whether messages are in a backlog or wait for a connection that is being opened."""
@@ -247,7 +252,7 @@
         for viewer in list(self.viewers.connections):
             viewer.read_pending()
         if (
-            self.open_set_up_count or self.has_unsent_messages
+            self.open_set_up_count or self.has_unhandled_messages or self.has_unsent_messages
         ) and self.loop.now() - self.stopping_since < self.stop_timeout_s:
             self.loop.call_later(bounds.SHUTDOWN_POLL_INTERVAL_S, self.stop_when_answered)
             return
--- a/lemonhall/front/node/viewers.py
+++ b/lemonhall/front/node/viewers.py
@@ -44,11 +44,34 @@
 MAX_INVALID_MESSAGES = 3  # on one connection; the last of them closes it
 
 
+class PassBudget:
+    """Counts messages handled in the current pass of the loop, up to a limit."""
+
+    def __init__(self, loop: Loop, limit: int) -> None:
+        self.loop, self.limit = loop, limit
+        self.counted_pass = self.handled = 0
+
+    @property
+    def is_spent(self) -> bool:
+        return self.counted_pass == self.loop.pass_count and self.handled >= self.limit
+
+    def count_message(self) -> None:
+        if self.counted_pass != self.loop.pass_count:
+            self.counted_pass, self.handled = self.loop.pass_count, 0
+        self.handled += 1
+
+
 class ViewerConnection(Handler):
-    """One connection from viewers; it may carry many sessions."""
+    """One connection from viewers; it may carry many sessions.
+
+    Of what has arrived only so much is handled in one pass of the loop that other connections, and the
+    decider, get their turn. The rest waits for the next pass, and nothing more is read until then.
+    """
 
     def __init__(self, owner: ViewerConnections, sock: socket.socket) -> None:
         self.owner, self.line_reader = owner, LineReader()
+        self.budget = PassBudget(owner.loop, bounds.MAX_CONNECTION_MESSAGES_PER_PASS)
+        self.deferred = False  # messages that were read wait for the next pass
         self.open_sessions: dict[str, Session] = {}  # set-ups that must still be answered here
         self.established_sessions: dict[str, Session] = {}  # that were set up or handed over here
         self.unsent_answers: list[tuple[int, Session]] = []  # in the backlog, with the offset of their end
@@ -64,15 +87,26 @@
         )
 
     def on_data(self, view: memoryview) -> None:
-        owner = self.owner
-        self.last_used_at = owner.loop.now()
+        self.last_used_at = self.owner.loop.now()
         self.line_reader.feed(view)
+        self.handle_lines()
+
+    def handle_lines(self) -> None:
+        """Handles the messages that were read, or as many as the budgets of the pass allow."""
         try:
-            while self.usable and (line := self.line_reader.next_line()) is not None:
+            while self.usable:
+                if self.is_budget_spent and self.line_reader.has_line:
+                    self.defer()
+                    return
+                line = self.line_reader.next_line()
+                if line is None:
+                    break
+                self.budget.count_message()
+                self.owner.budget.count_message()
                 if line.strip():
                     self.handle_line(line)
         except LineTooLong:
-            owner.counts["bad_too_long"] += 1
+            self.owner.counts["bad_too_long"] += 1
             self.close_lingering()
             return
         if not self.line_reader.has_unread:
@@ -80,6 +114,22 @@
         elif not self.partial_since:
             self.partial_since = self.last_used_at
 
+    @property
+    def is_budget_spent(self) -> bool:
+        return self.budget.is_spent or self.owner.budget.is_spent
+
+    def defer(self) -> None:
+        self.stream.pause_reading()
+        if not self.deferred:
+            self.deferred = True
+            self.owner.loop.call_next_pass(self.resume)
+
+    def resume(self) -> None:
+        self.deferred = False
+        self.handle_lines()
+        if not self.deferred and self.usable:
+            self.stream.resume_reading()
+
     def handle_line(self, line: bytes) -> None:
         owner = self.owner
         try:
@@ -207,6 +257,7 @@
             log_event,
         )
         self.connections: dict[ViewerConnection, None] = {}
+        self.budget = PassBudget(loop, bounds.MAX_MESSAGES_PER_PASS)
         self.waiting_releases: deque[WaitingRelease] = deque(maxlen=bounds.MAX_WAITING_RELEASES)
         self.listener: socket.socket | None = None
         self.is_serving: Callable[[], bool] = lambda: True
@@ -249,6 +300,7 @@
                 connection.usable,
                 bool(connection.established_sessions),
                 connection.trust,
+                connection.deferred,
                 connection.last_used_at,
             ),
         ):
--- a/lemonhall/loop/event_loop.py
+++ b/lemonhall/loop/event_loop.py
@@ -55,6 +55,7 @@
         self.timers: list[tuple[float, int, Timer]] = []
         self.timer_sequence = itertools.count()
         self.ready_calls: deque[tuple[Callback, tuple[Any, ...]]] = deque()
+        self.next_pass_calls: deque[tuple[Callback, tuple[Any, ...]]] = deque()
         self.running = False
         self.on_error: Callable[[Exception], object] | None = None
         self.end_of_pass_callbacks: list[Callable[[], object]] = []
@@ -71,6 +72,10 @@
         """Runs the callback in the current pass if there is one, else in the next."""
         self.ready_calls.append((callback, args))
 
+    def call_next_pass(self, callback: Callback, *args: Any) -> None:
+        """Runs the callback in the next pass, after its ready sockets and due timers: for work put off."""
+        self.next_pass_calls.append((callback, args))
+
     def call_at(self, when: float, callback: Callback, *args: Any) -> Timer:
         timer = Timer(when, callback, args)
         heapq.heappush(self.timers, (when, next(self.timer_sequence), timer))
@@ -162,9 +167,10 @@
 
     def run_once(self, max_wait_s: float = MAX_WAIT_S) -> None:
         """Runs one pass: ready sockets, then due timers, then queued callbacks."""
+        put_off, self.next_pass_calls = self.next_pass_calls, deque()
         while self.timers and not self.timers[0][2].is_pending:
             heapq.heappop(self.timers)
-        if self.ready_calls:
+        if self.ready_calls or put_off:
             max_wait_s = 0.0
         elif self.timers:
             max_wait_s = max(0.0, min(max_wait_s, self.timers[0][0] - self.clock()))
@@ -180,6 +186,7 @@
                 callback, args = timer.callback, timer.args
                 timer.cancel()
                 self._run_callback(callback, args)
+        self.ready_calls.extend(put_off)
         while True:
             for _ in range(len(self.ready_calls)):
                 self._run_callback(*self.ready_calls.popleft())
--- a/lemonhall/node/line_reader.py
+++ b/lemonhall/node/line_reader.py
@@ -42,6 +42,11 @@
             self.line_start = self.scanned_to = 0
         return line
 
+    @property
+    def has_line(self) -> bool:
+        """Whether `next_line` would return a line."""
+        return self.buffer.find(b"\n", self.scanned_to) >= 0
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes were fed that `next_line` has not returned."""
--- /dev/null
+++ b/tests/node/test_floods.py
@@ -0,0 +1,78 @@
+"""One client at full speed takes neither the time nor the memory of the others.
+
+docs/incidents/one-client-held-up-all-others.md has the failures that these guard against.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+from lemonhall.node import bounds
+from tests.node.world import Peer, World
+
+HEARTBEAT = b'{"t":"hb","f":{}}\n'
+
+
+def run_pass(world: World) -> None:
+    world.loop.run_once(0.0)
+    for viewer in world.viewers:
+        viewer.read()
+
+
+def most_per_pass(world: World, count: Callable[[], int], total: int) -> int:
+    """The largest increase of a count in one pass of the loop, until it has reached the total."""
+    most = 0
+    while (before := count()) < total:
+        run_pass(world)
+        most = max(most, count() - before)
+    return most
+
+
+def test_a_pass_handles_a_bounded_part_of_what_one_client_sends(world: World) -> None:
+    """All of 16 KiB were handled at once, some 900 messages, and again at each set-up that was sent on."""
+    flooder = world.connect_viewer()
+    flooder.send_data(HEARTBEAT * 900)
+    most = most_per_pass(world, lambda: len(flooder.received), 900)
+    assert 0 < most <= bounds.MAX_CONNECTION_MESSAGES_PER_PASS
+
+
+def test_a_pass_handles_a_bounded_part_of_what_all_clients_send(world: World) -> None:
+    """400 clients at full speed: passes of 4.4 s, and answers to others up to 6.1 s late."""
+    flooders = [world.connect_viewer() for _ in range(20)]
+    for flooder in flooders:
+        flooder.send_data(HEARTBEAT * 100)
+    most = most_per_pass(world, lambda: sum(len(flooder.received) for flooder in flooders), 2000)
+    assert 0 < most <= bounds.MAX_MESSAGES_PER_PASS
+
+
+def test_a_set_up_is_sent_on_while_a_flood_is_under_way(world: World) -> None:
+    flooder = world.connect_viewer()
+    for _ in range(8):
+        flooder.send_data(HEARTBEAT * 900)
+    run_pass(world)
+    ref = world.request_set_up()["ref"]
+    world.wait_for_set_up(ref)
+    assert len(flooder.received) < 8 * 900
+    world.run_until(lambda: len(flooder.received) == 8 * 900)  # and it gets all its answers
+
+
+def send_burst(world: World, viewer: Peer, count: int) -> list[str]:
+    set_ups = [world.make_set_up() for _ in range(count)]
+    viewer.send_data(b"".join(json.dumps(message).encode() + b"\n" for message in set_ups))
+    return [message["ref"] for message in set_ups]
+
+
+def test_what_waits_for_the_next_pass_is_answered_before_the_end_of_the_process(world: World) -> None:
+    """Set-ups that were read are taken, also when the process is told to end meanwhile."""
+    world.advance(1.0)
+    refs = send_burst(world, world.viewer, bounds.MAX_OPEN_SET_UPS // 2)
+    run_pass(world)
+    assert world.node.has_unhandled_messages
+    world.node.stopping_since = world.now
+    world.node.stop_when_answered()
+    for ref in refs:
+        if not world.messages_for(ref):
+            _, connection, _ = world.wait_for_set_up(ref)
+            connection.send_data({"t": "down", "ref": ref, "f": {}, "c": 34})
+    world.run_until(lambda: all(world.messages_for(ref) for ref in refs))
