Handovers keep 512 unlisted servers at most, and prove a viewer only once confirmed

What callers saw: one client whose set-ups name ever new servers (`at`) took a node from 15 to 189 MB of its 192 in 25 s, and it was not given back; its connection counted as one that reads releases.

Cause: each name made a server, a session and a server of the decider, 5.5 KB, for 14.5 s; nothing bounded how many. The tables were empty afterwards, but the allocator keeps what lies between longer-lived objects.

Change: beyond 512 servers that the list lacks a handover is ignored and counted; a connection is proven with the media server's first message on the session.

--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -182,6 +182,7 @@
             server.lose_sessions(LossReason.GONE)
             del self.listed_servers[entry.id]
             self.servers.remove_if_unused(server)
+        self.servers.listed_count = len(self.listed_servers)
 
     def make_server(self, entry: ListedServer, number: int, state: interface.ServerState) -> interface.Server:
         names = self.config.names
--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -558,6 +558,7 @@
         self.notes = notes
         self.by_id: dict[str, MediaServer] = {}
         self.by_number: dict[int, MediaServer] = {}
+        self.listed_count = 0  # of `by_id`
         self.next_number = 1
         self.shutting_down = False  # no new connections
         self.on_up: Callable[[ServerConnection, Up], None]
@@ -575,6 +576,11 @@
             self.by_id[server_id] = self.by_number[server.number] = server
         return server
 
+    def may_add(self, server_id: str) -> bool:
+        """Whether a viewer may name the server: it is known, or few are that the list does not have."""
+        unlisted_count = len(self.by_id) - self.listed_count
+        return server_id in self.by_id or unlisted_count < bounds.MAX_UNLISTED_SERVERS
+
     def remove_if_unused(self, server: MediaServer) -> None:
         """Removes a server that has left the list and has no session, attempt or command left."""
         if server.listed or server.established_sessions or server.waiting_attempts or server.pending_commands:
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -138,11 +138,13 @@
 
     def take_over(self, viewer: ViewerConnection, set_up: NewSetUp) -> None:
         """Takes over a session that plays already, perhaps at a server that is not listed yet."""
-        if self.established_count >= bounds.MAX_ESTABLISHED_SESSIONS:
+        if self.established_count >= bounds.MAX_ESTABLISHED_SESSIONS or not self.servers.may_add(
+            set_up.playing_at
+        ):
+            self.counts["handover_ignored"] += 1
             return
         server = self.servers.get_or_add(set_up.playing_at)
         session = Session(self.next_number, set_up, viewer, 0.0, self.settings.classes[set_up.cls].floor)
-        viewer.proven = True
         if self.apply_early_release(session, server):
             return
         self.add(session)
@@ -309,12 +311,18 @@
             return
         if not session.established or session.attempt is None or not is_holder(connection, session.attempt):
             return
-        session.attempt.server.on_session_message()
+        self.on_session_message(session, session.attempt)
         outcome = outcome_after_answer(down.cause)
         if outcome is not Outcome.CANCELLED:  # 31: the viewer has ended the session and expects no release
             self.viewers.release_session(session, messages.encode_down(session.ref, down.cause))
         self.end(session, outcome, down.load)
 
+    def on_session_message(self, session: Session, attempt: Attempt) -> None:
+        """The server holds the session, so whoever brought it, also by a handover, is a viewer of it."""
+        attempt.server.on_session_message()
+        if session.viewer:
+            session.viewer.proven = True
+
     def on_server_note(self, connection: ServerConnection, note: Note) -> None:
         session = self.by_ref.get(note.ref)
         if session is None or not session.established or session.attempt is None:
@@ -322,7 +330,7 @@
             return
         if not is_holder(connection, session.attempt):
             return
-        session.attempt.server.on_session_message()
+        self.on_session_message(session, session.attempt)
         self.counts["notes"] += 1
         server_number = session.attempt.server.number
         if note.kind == interface.NoteKind.RUNG:
--- a/lemonhall/node/bounds.py
+++ b/lemonhall/node/bounds.py
@@ -12,6 +12,7 @@
 MAX_MESSAGES_PER_PASS = 128  # of all viewer connections: a pass must stay far under an answer's time
 MAX_OPEN_SET_UPS = 128  # per viewer connection; one more is refused
 MAX_BACKLOG_BYTES = 256 * 1024  # unread by a peer, which is then considered dead and disconnected
+MAX_UNLISTED_SERVERS = 512  # that viewers named in handovers: what a list that lags may lack
 MAX_ESTABLISHED_SESSIONS = 20_000  # more than any uplink carries: a higher number means a fault elsewhere
 MAX_WAITING_RELEASES = 5_000  # kept until a viewer connection opens
 RELEASE_DEADLINE_S = 8.0  # after a session's end; later than that a release is lost and is not sent again
--- a/tests/node/test_floods.py
+++ b/tests/node/test_floods.py
@@ -8,7 +8,10 @@
 import json
 from collections.abc import Callable
 
+from lemonhall.front.node.viewers import Trust
 from lemonhall.node import bounds
+from tests.node.test_growth import table_sizes
+from tests.node.test_rare import note
 from tests.node.world import Peer, World
 
 HEARTBEAT = b'{"t":"hb","f":{}}\n'
@@ -57,6 +60,51 @@
     world.run_until(lambda: len(flooder.received) == 8 * 900)  # and it gets all its answers
 
 
+def hand_over(world: World, viewer: Peer, server_ids: list[str]) -> None:
+    for server_id in server_ids:
+        extras = f"home:0;copies:4;top:2;viewer:00000000000000aa;at:{server_id}"
+        viewer.send_data(world.make_set_up(extras=extras))
+
+
+def test_handovers_that_name_ever_new_servers_take_bounded_room(world: World) -> None:
+    """One client took a node from 15 to 189 MB of its 192 in 25 s, and it was not given back."""
+    before = table_sizes(world)
+    flooder = world.connect_viewer()
+    servers = world.node.servers
+    for start in range(0, 3 * bounds.MAX_UNLISTED_SERVERS, 128):
+        hand_over(world, flooder, [f"x-{start + n:08x}" for n in range(128)])
+        world.pump(6)
+    assert len(servers.by_id) == len(world.servers) + bounds.MAX_UNLISTED_SERVERS
+    world.establish_session(viewer=world.connect_viewer())  # others are served
+    flooder.close()
+    world.advance(bounds.SERVER_LOST_AFTER_S + bounds.UNLISTED_COMMAND_TTL_S + 1.0, step=0.25)
+    after = table_sizes(world)
+    assert len(servers.by_id) == len(world.servers)
+    assert {name for name in before if after.get(name, 0) > before[name] + 64} == set()
+
+
+def test_a_handover_of_a_listed_server_is_taken_beside_many_unknown_ones(world: World) -> None:
+    """The other way: room is short for servers that the list lacks alone."""
+    flooder = world.connect_viewer()
+    for start in range(0, bounds.MAX_UNLISTED_SERVERS + 128, 128):
+        hand_over(world, flooder, [f"x-{start + n:08x}" for n in range(128)])
+        world.pump(6)
+    taken = world.node.counts["handed_over"]
+    hand_over(world, world.viewer, [world.servers[0].name])
+    world.run_until(lambda: world.node.counts["handed_over"] > taken)
+
+
+def test_a_handover_proves_a_viewer_only_once_the_server_confirms_it(world: World) -> None:
+    """A client that named any server got the releases of others, which it did not read."""
+    hand_over(world, world.viewer, [world.servers[0].name])
+    world.run_until(lambda: world.servers[0].connections)
+    connection = next(iter(world.node.viewers.connections))
+    assert connection.trust is Trust.VALID_MESSAGE
+    ref = next(iter(connection.established_sessions))
+    world.servers[0].connections[0].send_data(note(ref))
+    world.run_until(lambda: connection.trust is Trust.PROVEN)
+
+
 def send_burst(world: World, viewer: Peer, count: int) -> list[str]:
     set_ups = [world.make_set_up() for _ in range(count)]
     viewer.send_data(b"".join(json.dumps(message).encode() + b"\n" for message in set_ups))
