Descriptions and backlogs of all viewers together are bounded by the memory limit

What callers saw: 400 clients that sent set-ups of 16 KiB took a node to 260 MB where 192 are allowed (a play on real processes); it would have been killed.

Cause: a session kept the description of its set-up to its end, and open set-ups and unread answers had bounds for each connection and none for all together.

--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -60,11 +60,19 @@
             loop,
             config.names,
             int(config.max_descriptors * bounds.VIEWER_DESCRIPTORS_SHARE),
+            int(config.max_memory_bytes * bounds.VIEWER_BACKLOG_MEMORY_SHARE),
             self.counts,
             log.emit,
         )
         self.sessions = Sessions(
-            loop, self.bridge, settings, self.servers, self.viewers, self.counts, log.emit
+            loop,
+            self.bridge,
+            settings,
+            self.servers,
+            self.viewers,
+            int(config.max_memory_bytes * bounds.OPEN_SET_UPS_MEMORY_SHARE),
+            self.counts,
+            log.emit,
         )
         self.viewers.is_known_ref = self.sessions.by_ref.__contains__
         self.viewers.is_serving = self.is_serving
--- a/lemonhall/front/node/session.py
+++ b/lemonhall/front/node/session.py
@@ -97,6 +97,7 @@
         "attempt",
         "attempt_count",
         "deadline",
+        "description_bytes",
         "established",
         "new_session_event",
         "number",
@@ -117,6 +118,7 @@
         self.number, self.set_up, self.ref, self.deadline = number, set_up, set_up.ref, deadline
         self.viewer: ViewerConnectionProtocol | None = viewer
         self.rung = rung
+        self.description_bytes = 0  # of memory, counted while the set-up is open
         self.attempt: Attempt | None = None
         self.attempt_count = 0
         self.established = False
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections import Counter
 from collections.abc import Callable
 
@@ -53,6 +54,7 @@
         settings: interface.Settings,
         servers: MediaServers,
         viewers: ViewerConnections,
+        max_open_bytes: int,
         counts: Counter[str],
         log_event: Callable[..., None],
     ) -> None:
@@ -62,6 +64,8 @@
         self.by_number: dict[int, Session] = {}
         self.next_number = 1
         self.established_count = 0
+        self.max_open_bytes = max_open_bytes  # that descriptions of open set-ups may take together
+        self.open_bytes = 0
         # Sessions whose viewer left while the decider's actions are carried out; one may concern them.
         self.departing: dict[int, Session] = {}
         # Releases of unknown refs: when, from which server (empty: from a viewer), the cause.
@@ -105,11 +109,18 @@
             self.counts["out_of_time"] += 1
             viewer.send(messages.encode_down(set_up.ref, FAILED))
             return True
+        description_bytes = sys.getsizeof(set_up.description)
+        if self.open_bytes + description_bytes > self.max_open_bytes:
+            self.counts["refused_memory"] += 1
+            viewer.send(messages.encode_down(set_up.ref, REFUSED))
+            return True
         now = self.loop.now()
         floor = self.settings.classes[set_up.cls].floor
         deadline = now + set_up.left_ms / 1000 - bounds.answer_margin_s(set_up.left_ms / 1000)
         session = self.add(Session(self.next_number, set_up, viewer, deadline, floor))
         viewer.open_sessions[set_up.ref] = session
+        session.description_bytes = description_bytes
+        self.open_bytes += description_bytes
         self.counts["asked"] += 1
         left_ms = max(1.0, (deadline - now) * 1000)
         session.new_session_event = self.make_new_session_event(session, left_ms)
@@ -121,6 +132,12 @@
         self.by_ref[session.ref] = self.by_number[session.number] = session
         return session
 
+    def drop_description(self, session: Session) -> None:
+        """Frees the description, which only an open set-up needs."""
+        self.open_bytes -= session.description_bytes
+        session.description_bytes = 0
+        session.set_up.description = ""
+
     def make_new_session_event(self, session: Session, left_ms: float) -> interface.NewSession:
         set_up = session.set_up
         return interface.NewSession(
@@ -239,6 +256,7 @@
 
     def remove(self, session: Session) -> None:
         """Removes the session from all tables: no answer and no release is owed any more."""
+        self.drop_description(session)
         self.by_ref.pop(session.ref, None)
         self.by_number.pop(session.number, None)
         if session.viewer:
@@ -270,6 +288,7 @@
             attempt.timer = None
         attempt.line = b""
         session.established = True
+        self.drop_description(session)
         self.established_count += 1
         self.counts["played"] += 1
         attempt.server.add_session(session)
--- a/lemonhall/front/node/viewers.py
+++ b/lemonhall/front/node/viewers.py
@@ -246,6 +246,7 @@
         loop: Loop,
         names: SettingsNames,
         max_connections: int,
+        max_backlog_bytes: int,
         counts: Counter[str],
         log_event: Callable[..., None],
     ) -> None:
@@ -256,6 +257,7 @@
             counts,
             log_event,
         )
+        self.max_backlog_bytes = max_backlog_bytes  # unread by viewers, of all connections together
         self.connections: dict[ViewerConnection, None] = {}
         self.budget = PassBudget(loop, bounds.MAX_MESSAGES_PER_PASS)
         self.waiting_releases: deque[WaitingRelease] = deque(maxlen=bounds.MAX_WAITING_RELEASES)
@@ -394,6 +396,7 @@
         """Closes connections without a valid message, with an incomplete message, or idle for too long."""
         now = self.loop.now()
         self.send_waiting_releases()
+        self.bound_backlogs()
         for connection in list(self.connections):
             if not connection.usable:
                 continue
@@ -417,3 +420,14 @@
                     "closing a viewer connection", why=why, idle_s=round(now - connection.last_used_at, 3)
                 )
                 connection.close_lingering()
+
+    def bound_backlogs(self) -> None:
+        """Disconnects the viewers that have left most unread where all of it takes too much memory."""
+        unread = sum(connection.stream.backlog_bytes for connection in self.connections)
+        if unread <= self.max_backlog_bytes:
+            return
+        for connection in sorted(self.connections, key=lambda connection: -connection.stream.backlog_bytes):
+            if unread <= self.max_backlog_bytes:
+                return
+            unread -= connection.stream.backlog_bytes
+            connection.on_backlog_full()
--- a/lemonhall/node/configuration.py
+++ b/lemonhall/node/configuration.py
@@ -21,6 +21,7 @@
     listen_address: Address
     seed: int
     max_descriptors: int  # that the process may hold
+    max_memory_bytes: int  # over which the process is killed
     resolver_address: Address
     list_number: int  # sequence number of the last event in `servers`
     servers: dict[str, ListedServer]  # the list at the start
@@ -153,6 +154,7 @@
         parse_address(document.get("listen"), f"{path}: listen"),
         seed,
         int(_parse_number(limits.get("sockets", 1024), f"{path}: limits.sockets", 16)),
+        int(_parse_number(limits.get("memory_mb", 192), f"{path}: limits.memory_mb", 16) * 2**20),
         parse_address(document.get("dns"), f"{path}: dns"),
         list_number,
         servers,
