The time of an incomplete message begins anew with each message

What callers saw: a connection on which another message had always begun was closed as half-written after 2 s, though each came whole in time, with all set-ups open on it.

Cause: the time was taken back only when nothing at all was unread.

Measured: the new test fails on the commit before and passes; test_neighbours, test_rude, test_quiet_viewers passed.

--- a/lemonhall/front/node/viewers.py
+++ b/lemonhall/front/node/viewers.py
@@ -101,6 +101,7 @@
                 line = self.line_reader.next_line()
                 if line is None:
                     break
+                self.partial_since = 0.0  # what follows is another message
                 self.budget.count_message()
                 self.owner.budget.count_message()
                 if line.strip():
--- a/tests/node/test_neighbours.py
+++ b/tests/node/test_neighbours.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lemonhall.front.node.viewers import MAX_INVALID_MESSAGES
+from lemonhall.node import bounds
 from lemonhall.node.causes import FAILED
 from tests.node.world import World
 
@@ -20,3 +21,16 @@
     assert world.node.counts["attempts"] == 1  # no media server is asked for them
     connection.send_data({"t": "up", "ref": ordinary, "f": {}, "d": "v=0"})
     world.run_until(lambda: world.messages_for(ordinary, "up"))
+
+
+def test_a_connection_that_always_has_a_message_under_way_is_not_closed(world: World) -> None:
+    """Each message came whole within its time, yet the connection was closed as half-written after 2 s."""
+    line = b'{"t":"hb","f":{}}\n'
+    world.viewer.send_data(line[:5])
+    for sent in range(1, 9):
+        world.viewer.send_data(line[5:] + line[:5])
+        world.run_until(lambda sent=sent: len(world.viewer.received) == sent)  # type: ignore[misc]
+        world.advance(bounds.PARTIAL_LINE_TIMEOUT_S / 2)
+    assert not world.viewer.closed
+    world.advance(bounds.PARTIAL_LINE_TIMEOUT_S)  # the other way: the last one never comes whole
+    assert world.viewer.closed
