A client's close is seen behind everything it has written, and its set-ups are given up

Cause: before a set-up is sent on, the connection was read for the close, 128 KiB at most, and not at all while its messages wait for the next pass.

What a client sent before its close is still handled, but for set-ups.

--- a/lemonhall/front/node/viewers.py
+++ b/lemonhall/front/node/viewers.py
@@ -72,6 +72,7 @@
         self.owner, self.line_reader = owner, LineReader()
         self.budget = PassBudget(owner.loop, bounds.MAX_CONNECTION_MESSAGES_PER_PASS)
         self.deferred = False  # messages that were read wait for the next pass
+        self.left = False  # the viewer has closed it; what it sent before is still handled, but no set-up
         self.open_sessions: dict[str, Session] = {}  # set-ups that must still be answered here
         self.established_sessions: dict[str, Session] = {}  # that were set up or handed over here
         self.unsent_answers: list[tuple[int, Session]] = []  # in the backlog, with the offset of their end
@@ -93,8 +94,10 @@
 
     def handle_lines(self) -> None:
         """Handles the messages that were read, or as many as the budgets of the pass allow."""
+        if self.deferred:
+            return
         try:
-            while self.usable:
+            while self.usable or self.left:
                 if self.is_budget_spent and self.line_reader.has_line:
                     self.defer()
                     return
@@ -150,6 +153,9 @@
 
     def handle_set_up(self, set_up: NewSetUp) -> None:
         owner = self.owner
+        if self.left and not set_up.playing_at:
+            owner.counts["left_unread"] += 1
+            return
         is_full = len(self.open_sessions) >= bounds.MAX_OPEN_SET_UPS
         if is_full and not set_up.playing_at and not owner.is_known_ref(set_up.ref):
             owner.counts["refused_full_connection"] += 1
@@ -190,8 +196,13 @@
         return self.stream.open and not self.stream.closing
 
     def read_pending(self) -> None:
-        """Reads what has arrived: it may contain the viewer's disconnect."""
+        """Reads what has arrived: it may contain the viewer's disconnect, also behind messages that wait."""
         self.stream.read_pending()
+        while self.deferred and self.stream.open and self.line_reader.size < self.owner.max_read_ahead_bytes:
+            bytes_read = self.stream.bytes_read
+            self.stream.read_pending(while_paused=True)
+            if self.stream.bytes_read == bytes_read:
+                return
 
     def send(self, line: bytes) -> None:
         self.stream.write(line)
@@ -233,6 +244,7 @@
             self.owner.log_event(
                 "viewer connection closed with open set-ups", why=reason, open_set_ups=len(self.open_sessions)
             )
+        self.left = reason != "local"
         self.owner.on_connection_closed(self)
 
 
@@ -269,6 +281,11 @@
         self.on_down: Callable[[ViewerConnection, Down], None]
         self.on_disconnected: Callable[[ViewerConnection], None]
 
+    @property
+    def max_read_ahead_bytes(self) -> int:
+        """How much of one connection's input may wait to be handled, so that its close is seen behind it."""
+        return min(bounds.MAX_READ_AHEAD_BYTES, self.max_backlog_bytes // max(1, len(self.connections)))
+
     def listen(self, address: tuple[str, int]) -> None:
         """Raises `OSError`."""
         self.listener = listen(self.loop, address, self.accept)
--- a/lemonhall/loop/stream.py
+++ b/lemonhall/loop/stream.py
@@ -131,7 +131,7 @@
         if self.open and self.send_queue:
             self._flush_send_queue()
 
-    def read_pending(self) -> bool:
+    def read_pending(self, while_paused: bool = False) -> bool:
         """Reads at once what has arrived, without waiting for the loop; returns whether the stream is usable.
 
         For a caller that is about to act on a message of the peer: the peer's close may be queued behind that
@@ -139,7 +139,8 @@
         """
         if self.write_failed:
             self._close("reset")
-        if self.open and not (self.connecting or self.closing or self.reading_paused or self.io_suspended):
+        paused = self.reading_paused and not while_paused
+        if self.open and not (self.connecting or self.closing or paused or self.io_suspended):
             self._read(READS_PER_READ_PENDING, to_end=True)
         return self.open and not self.closing
 
--- a/lemonhall/node/line_reader.py
+++ b/lemonhall/node/line_reader.py
@@ -10,7 +10,7 @@
 
 
 class LineReader:
-    """`feed` received bytes, then call `next_line` until it is None. Holds at most one line and one feed."""
+    """`feed` received bytes, then call `next_line` until it is None. Holds what was fed and not returned."""
 
     __slots__ = ("buffer", "line_start", "scanned_to")
 
@@ -42,6 +42,11 @@
             self.line_start = self.scanned_to = 0
         return line
 
+    @property
+    def size(self) -> int:
+        """Bytes that are held."""
+        return len(self.buffer)
+
     @property
     def has_line(self) -> bool:
         """Whether `next_line` would return a line."""
