An id whose set-up may have run is not run again

What callers saw: a client left while its paid set-up was open and came again with the same id: it ran twice.

Cause: an id was forgotten with its set-up.

Change: the refs of set-ups that may have run are remembered for 20 s, 8,192 at most, and answered as failed. One that provably never ran may come again. Handovers (`at`) are not concerned.

--- a/lemonhall/front/node/session.py
+++ b/lemonhall/front/node/session.py
@@ -99,6 +99,7 @@
         "deadline",
         "description_bytes",
         "established",
+        "may_have_run",
         "new_session_event",
         "number",
         "ref",
@@ -122,4 +123,5 @@
         self.attempt: Attempt | None = None
         self.attempt_count = 0
         self.established = False
+        self.may_have_run = False  # an attempt that has ended may have set it up
         self.new_session_event: interface.NewSession | None = None  # as sent to the decider
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -29,11 +29,13 @@
     ENDED_BY_VIEWER,
     FAILED,
     GIVEN_UP,
+    NEVER_RAN,
     REFUSED,
     outcome_after_answer,
     outcome_before_answer,
 )
 from lemonhall.node.messages import Down, NewSetUp, Note, Up
+from lemonhall.node.used_refs import UsedRefs
 
 
 def is_holder(connection: ServerConnection, attempt: Attempt) -> bool:
@@ -68,6 +70,7 @@
         self.open_bytes = 0
         # Sessions whose viewer left while the decider's actions are carried out; one may concern them.
         self.departing: dict[int, Session] = {}
+        self.used_refs = UsedRefs(bounds.MAX_USED_REFS, bounds.USED_REF_TTL_S)
         # Releases of unknown refs: when, from which server (empty: from a viewer), the cause.
         self.early_releases: dict[str, tuple[float, str, int]] = {}
         self.list_age_s: Callable[[], float] = lambda: 0.0  # since the list was last confirmed
@@ -105,6 +108,10 @@
         if known is not None:
             self.counts["id_twice"] += 1
             return False
+        if self.used_refs.contains(set_up.ref, self.loop.now()):
+            self.counts["id_again"] += 1
+            viewer.send(messages.encode_down(set_up.ref, FAILED))
+            return True
         if set_up.left_ms < bounds.MIN_LEFT_MS:
             self.counts["out_of_time"] += 1
             viewer.send(messages.encode_down(set_up.ref, FAILED))
@@ -231,9 +238,10 @@
         self.counts["given_up"] += 1
         attempt, session.attempt = session.attempt, None
         self.report_viewer_gone(session)
+        if attempt:
+            session.may_have_run |= self.stop_waiting(attempt)
         self.remove(session)
         if attempt:
-            self.stop_waiting(attempt)
             took_ms = (self.loop.now() - attempt.started_at) * 1000
             self.bridge.enqueue(
                 interface.AttemptEnded(
@@ -257,6 +265,8 @@
     def remove(self, session: Session) -> None:
         """Removes the session from all tables: no answer and no release is owed any more."""
         self.drop_description(session)
+        if session.may_have_run:
+            self.used_refs.add(session.ref, self.loop.now())
         self.by_ref.pop(session.ref, None)
         self.by_number.pop(session.number, None)
         if session.viewer:
@@ -287,7 +297,7 @@
             attempt.timer.cancel()
             attempt.timer = None
         attempt.line = b""
-        session.established = True
+        session.established = session.may_have_run = True
         self.drop_description(session)
         self.established_count += 1
         self.counts["played"] += 1
@@ -364,6 +374,7 @@
         if session.attempt is not attempt or session.established:
             return
         session.attempt = None
+        session.may_have_run |= outcome not in NEVER_RAN
         if attempt.timer:
             attempt.timer.cancel()
         self.counts[f"ended_{outcome.name.lower()}"] += 1
@@ -487,9 +498,9 @@
             attempts=session.attempt_count,
             left_ms=round((session.deadline - self.loop.now()) * 1000),
         )
-        self.remove(session)
         if attempt:
-            self.stop_waiting(attempt)
+            session.may_have_run |= self.stop_waiting(attempt)
+        self.remove(session)
         if viewer:
             viewer.send(encode(session.ref, cause, pause_ms))
 
--- a/lemonhall/node/bounds.py
+++ b/lemonhall/node/bounds.py
@@ -30,6 +30,8 @@
 VIEWER_IDLE_TIMEOUT_S = 30.0  # without a session: viewers close after 4 s; this covers those that vanished
 
 LINGER_TIMEOUT_S = 1.0  # after our close, input is read and discarded so that our last message arrives
+MAX_USED_REFS = 8_192  # of ended set-ups that may have run: 90 a second for longer than they are kept
+USED_REF_TTL_S = 20.0  # several times the longest deadline, for a client that comes back
 MAX_EARLY_RELEASES = 1_000  # releases of unknown refs, kept because a handover may have crossed them
 EARLY_RELEASE_TTL_S = 8.0  # an ended session is released within 8 s
 
--- a/tests/node/test_departed.py
+++ b/tests/node/test_departed.py
@@ -7,12 +7,16 @@
 
 import json
 import socket
+from collections.abc import Callable
+from typing import Any
 
 import pytest
 
 from lemonhall.node import bounds
+from lemonhall.node.causes import FAILED
+from lemonhall.node.used_refs import UsedRefs
 from tests.node.test_liveness import releases_at
-from tests.node.test_rare import LINGER_RESET, down
+from tests.node.test_rare import LINGER_RESET, down, up
 from tests.node.world import Peer, World
 
 SENT_AT_ONCE = 500  # set-ups: about 170 KB
@@ -72,3 +76,61 @@
     client.close()
     world.run_until(lambda: len(world.node.viewers.connections) == 1)
     assert not any(server.received_messages("new") for server in world.servers)
+
+
+def come_back(world: World, message: dict[str, Any]) -> Peer:
+    """Sends the same set-up, id included, on a new connection."""
+    client = world.connect_viewer()
+    client.send_data(message)
+    return client
+
+
+def count_set_ups(world: World, ref: str) -> int:
+    return sum(m["ref"] == ref for server in world.servers for _, m in server.received_messages("new"))
+
+
+@pytest.mark.parametrize("cls", ["premium", "plain"])
+@pytest.mark.parametrize("before", ["left while it was open", "failed", "ended"])
+def test_an_id_that_may_have_run_does_not_run_again(world: World, cls: str, before: str) -> None:
+    """Its client had left, came again with the same id, and the session was set up twice."""
+    client = world.connect_viewer()
+    message = world.request_set_up(cls, viewer=client)
+    ref = message["ref"]
+    server, connection, _ = world.wait_for_set_up(ref)
+    if before == "left while it was open":
+        client.close()
+    elif before == "failed":
+        world.advance(2.0)
+    else:
+        connection.send_data(up(ref))
+        world.run_until(lambda: world.messages_for(ref, "up"))
+        client.send_data(down(ref, 16))
+    world.run_until(lambda: ref not in world.node.sessions.by_ref)
+    runs = count_set_ups(world, ref)
+    again = come_back(world, message)
+    world.run_until(lambda: again.received)
+    assert [(m["t"], m["c"]) for m in again.received] == [("down", FAILED)]
+    assert count_set_ups(world, ref) == runs
+    world.establish_session(cls, viewer=again, left="1400")  # a new id is served
+
+
+def test_an_id_that_never_ran_may_come_again(worlds: Callable[..., World]) -> None:
+    """The other way: every media server refused it, or it was given up before it was sent."""
+    world = worlds(servers=1)
+    message = world.request_set_up()
+    _, connection, _ = world.wait_for_set_up(message["ref"])
+    connection.send_data(down(message["ref"], 34))
+    world.run_until(lambda: world.messages_for(message["ref"], "down"))
+    world.advance(10.0)
+    come_back(world, message)
+    world.run_until(lambda: count_set_ups(world, message["ref"]) == 2)
+
+
+def test_used_refs_are_kept_for_their_time_and_in_bounded_number() -> None:
+    refs = UsedRefs(3, 10.0)
+    for now, ref in enumerate("abcd"):
+        refs.add(ref, float(now))
+    assert [refs.contains(ref, 4.0) for ref in "abcd"] == [False, True, True, True]
+    assert not refs.contains("b", 11.1) and refs.contains("d", 12.9)
+    refs.add("e", 12.9)
+    assert list(refs.used_at) == ["d", "e"]
