A message on a newer session does not end the doubt about older ones after a reset

Cause: any message on a session of the server ended the doubt that a reset raises, also the answer to a set-up that the new process had taken.

Change: each reset is kept, and a message speaks only for resets after its session was set up. What was set up before a reset and is still in doubt 6.5 s later is over; newer sessions stand.

--- a/lemonhall/front/node/liveness.py
+++ b/lemonhall/front/node/liveness.py
@@ -51,13 +51,22 @@
         self.last_message_at = NEVER  # on an established session, or when the first session was established
         self.last_sign_of_life_at = NEVER  # any data, a connection that came up or that the server ended
         self.connected_at = self.connect_failed_at = NEVER
-        # The last connection was reset then, and no message on a session has arrived since.
-        self.reset_at: float | None = None
+        # When the last connection was reset, oldest first. Another process may have taken the address each
+        # time, so sessions set up before are in doubt until a message on one of them arrives.
+        self.resets: list[float] = []
 
-    def on_message(self, now: float) -> None:
-        """A message on an established session: the server holds its sessions."""
+    @property
+    def reset_at(self) -> float | None:
+        """The oldest reset that leaves sessions in doubt."""
+        return self.resets[0] if self.resets else None
+
+    def on_message(self, now: float, set_up_at: float = NEVER) -> None:
+        """A message on a session that was set up at a time: the process is the same since then.
+
+        It says nothing about sessions that were set up before a reset that is older than the session.
+        """
         self.last_message_at = self.last_sign_of_life_at = now
-        self.reset_at = None
+        self.resets = [reset_at for reset_at in self.resets if reset_at < set_up_at]
 
     def on_sign_of_life(self, now: float) -> None:
         """The machine is there; whether it still holds the sessions is open."""
@@ -71,8 +80,11 @@
 
     def on_last_connection_reset(self, now: float) -> None:
         """The process may have ended at this moment. Later resets do not postpone the decision."""
-        if self.reset_at is None:
-            self.reset_at = now
+        self.resets.append(now)
+
+    def on_silence_decided(self) -> None:
+        """The sessions that the oldest reset left in doubt were taken for over."""
+        self.resets = self.resets[1:]
 
     def is_probe_due(self, now: float) -> bool:
         """Whether a new connection should show that the machine is alive."""
@@ -82,7 +94,8 @@
         """Why the sessions have to be taken for over, if so.
 
         A machine that vanished sends nothing and accepts no connection. If the connections were reset and
-        only a new one came up, another process may have taken the address: it knows none of the sessions.
+        only a new one came up, another process may have taken the address: it knows none of the sessions that
+        were set up before the oldest reset.
         """
         latest = now - bounds.SERVER_LOST_AFTER_S
         if not has_address:
--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -350,7 +350,7 @@
         lost = [
             session
             for session in self.established_sessions.values()
-            if session.attempt is None or session.attempt.started_at < before
+            if session.attempt is None or session.attempt.sent_at < before
         ]
         if lost:
             self.owner.counts[f"lost_{reason.value}"] += len(lost)
@@ -431,13 +431,13 @@
         for (ref, kind), line in commands.items():
             connection.send_command(ref, kind, line)
 
-    def on_session_message(self) -> None:
+    def on_session_message(self, attempt: Attempt) -> None:
         """A message on an established session has arrived."""
-        self.liveness.on_message(self.owner.loop.now())
+        self.liveness.on_message(self.owner.loop.now(), attempt.sent_at)
 
     def add_session(self, session: Session) -> None:
         if not self.established_sessions:
-            self.on_session_message()
+            self.liveness.on_message(self.owner.loop.now())
         self.established_sessions[session.ref] = session
 
     def remove_session(self, session: Session) -> None:
@@ -470,6 +470,14 @@
         if self.liveness.is_probe_due(now):
             self.reconnect(now)  # whether it succeeds shows whether the machine is alive
         if reason := self.liveness.presumed_loss(now, has_address=bool(self.address[1])):
+            self.lose_presumed_sessions(reason)
+
+    def lose_presumed_sessions(self, reason: LossReason) -> None:
+        reset_at = self.liveness.reset_at
+        if reason is LossReason.SILENT and reset_at is not None:
+            self.lose_sessions(reason, reset_at)
+            self.liveness.on_silence_decided()
+        else:
             self.lose_sessions(reason)
 
     def sweep_pending_commands(self, now: float) -> None:
--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -302,7 +302,7 @@
         self.established_count += 1
         self.counts["played"] += 1
         attempt.server.add_session(session)
-        attempt.server.on_session_message()
+        attempt.server.on_session_message(attempt)
         took_ms = (self.loop.now() - attempt.started_at) * 1000
         self.counts["took_ms"] += int(took_ms)
         if session.viewer:
@@ -348,7 +348,7 @@
 
     def on_session_message(self, session: Session, attempt: Attempt) -> None:
         """The server holds the session, so whoever brought it, also by a handover, is a viewer of it."""
-        attempt.server.on_session_message()
+        attempt.server.on_session_message(attempt)
         if session.viewer:
             session.viewer.proven = True
 
--- a/tests/node/test_liveness.py
+++ b/tests/node/test_liveness.py
@@ -318,6 +318,52 @@
     assert state.presumed_loss(lost_at + 0.01, has_address=True) is LossReason.SILENT
 
 
+def test_a_message_on_a_newer_session_says_nothing_about_older_ones() -> None:
+    state = liveness()
+    for reset_at in (104.0, 107.0):
+        state.on_last_connection_reset(reset_at)
+    state.on_message(108.0, set_up_at=107.5)
+    assert state.resets == [104.0, 107.0]
+    state.on_message(109.0, set_up_at=105.0)  # the process is the same since 105
+    assert state.resets == [104.0]
+    lost_at = 104.0 + bounds.SERVER_LOST_AFTER_S
+    assert state.presumed_loss(lost_at + 0.01, has_address=True) is LossReason.SILENT
+    state.on_silence_decided()
+    assert state.presumed_loss(200.0, has_address=True) is None
+
+
+def test_sessions_of_an_ended_process_are_over_though_the_next_one_answers(noted: World) -> None:
+    """KNOWN-RED 18: an answer of the process that took the address ended the doubt; told by the list alone."""
+    old, server, connection = noted.establish_session()
+    send_note(noted, connection, old)
+    noted.advance(1.0)
+    connection = reset(noted, server)  # in its place a new process, which knows nothing of the session
+    noted.advance(0.5)
+    new, _, connection = noted.establish_session()
+    for _ in range(6):
+        send_note(noted, connection, new)
+        noted.advance(1.1)
+    assert [m["c"] for m in noted.messages_for(old, "down")] == [41] and stands(noted, new)
+    assert releases_at(server, old) == [41]
+    noted.advance(RELEASE_LIMIT_S)
+    assert stands(noted, new)
+
+
+def test_sessions_go_on_though_newer_ones_answer_if_one_of_them_is_heard_of(noted: World) -> None:
+    """The other way: the process is the same, and a note on any older session shows it."""
+    first, server, connection = noted.establish_session()
+    second, _, _ = noted.establish_session()
+    noted.advance(1.0)
+    connection = reset(noted, server)
+    new, _, connection = noted.establish_session()
+    noted.advance(4.0)
+    send_note(noted, connection, second)
+    for _ in range(6):
+        send_note(noted, connection, new)
+        noted.advance(1.1)
+    assert all(stands(noted, ref) for ref in (first, second, new))
+
+
 def test_an_unreachable_server_is_lost_from_its_last_sign_of_life() -> None:
     state = liveness()
     state.on_sign_of_life(105.0)
