Sessions of a server that is gone are released at the one that has its address

What callers saw: sessions set up at a new process under the id of the old one, until the list told of it, ended for their viewers and stood on at the process, beside the viewers' next sessions.

Cause: a server that the list drops was taken to hold nothing, and nothing was released; another process behind its address may hold what it was sent.

--- a/lemonhall/front/node/process.py
+++ b/lemonhall/front/node/process.py
@@ -187,6 +187,8 @@
             server = self.servers.get_or_add(entry.id)
             server.listed = False
             server.withdraw_unsent_attempts()
+            if server.established_sessions and (successor := self.servers.listed_at(server.address)):
+                server.release_at_successor(successor)
             server.lose_sessions(LossReason.GONE)
             del self.listed_servers[entry.id]
             self.servers.remove_if_unused(server)
--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -368,6 +368,14 @@
         if reason.proven and not self.established_sessions:
             self.pending_commands.clear()
 
+    def release_at_successor(self, successor: MediaServer) -> None:
+        """Releases the sessions at the server that has the address now.
+
+        It may hold some: it was reached under this id until the list told of it.
+        """
+        for session in self.established_sessions.values():
+            successor.send_command(session.ref, "down", messages.encode_down(session.ref, CONNECTION_LOST))
+
     def release_lost_session(self, session: Session, reason: LossReason) -> None:
         """The server may hold the session still: without a release it would stand there beside its successor.
 
@@ -584,6 +592,12 @@
             self.by_id[server_id] = self.by_number[server.number] = server
         return server
 
+    def listed_at(self, address: tuple[str, int]) -> MediaServer | None:
+        """The listed server that has an address."""
+        return next(
+            (server for server in self.by_id.values() if server.listed and server.address == address), None
+        )
+
     def may_add(self, server_id: str) -> bool:
         """Whether a viewer may name the server: it is known, or few are that the list does not have."""
         unlisted_count = len(self.by_id) - self.listed_count
--- a/tests/node/test_liveness.py
+++ b/tests/node/test_liveness.py
@@ -333,7 +333,7 @@
 
 
 def test_sessions_of_an_ended_process_are_over_though_the_next_one_answers(noted: World) -> None:
-    """KNOWN-RED 18: an answer of the process that took the address ended the doubt; told by the list alone."""
+    """KNOWN-RED 18: an answer of the process that took the address ended the doubt; the list told it."""
     old, server, connection = noted.establish_session()
     send_note(noted, connection, old)
     noted.advance(1.0)
@@ -364,6 +364,20 @@
     assert all(stands(noted, ref) for ref in (first, second, new))
 
 
+def test_sessions_set_up_under_the_id_of_a_process_that_is_gone_end_at_both_sides(
+    worlds: Callable[..., World],
+) -> None:
+    """They stand at the process that took the address; only the viewer was told that they are over."""
+    world = worlds(servers=1)
+    server = world.servers[0]
+    ref, _, _ = world.establish_session()
+    server.name = "s-00000009"
+    world.fake_resolver.list_number += 1
+    world.node.resolver.send_query()
+    world.run_until(lambda: world.messages_for(ref, "down"))
+    world.run_until(lambda: releases_at(server, ref))
+
+
 def test_an_unreachable_server_is_lost_from_its_last_sign_of_life() -> None:
     state = liveness()
     state.on_sign_of_life(105.0)
