Serve handles its signals before it says that it serves

Cause: the handlers were set after the word was printed; likewise in a decider that its parent activates.

Change: they are set before.

Measured: the new test sends the signal in that moment: SIGTERM and SIGUSR1 failed before (-15, -10; SIGINT had its handler), 3 of 3 pass.

--- a/lemonhall/cli/serve.py
+++ b/lemonhall/cli/serve.py
@@ -76,6 +76,7 @@
     else:
         opened(daemon, settings)
     daemon.loop.add_signal_handler(signal.SIGINT, daemon.stop)
+    handle_signals(daemon)
     say({"serving": daemon.host})
     run(daemon)
     if limits := daemon.set_up_requests.limits:
@@ -178,20 +179,25 @@
     daemon.on_settings_changed = keep
     opened(daemon, settings)
     keep(daemon.settings_tree)
+    handle_signals(daemon)
     channel.send({"open": True})
     freeze_garbage_collector()
     if channel.open:  # else its parent ended while it came up
         run(daemon)
 
 
-def run(daemon: Daemon) -> None:
-    """Signals, then the loop to its end."""
+def handle_signals(daemon: Daemon) -> None:
+    """Before anybody is told that the process serves: a signal that follows must not end it at once."""
     for number, act in {
         signal.SIGTERM: daemon.stop,
         signal.SIGUSR1: daemon.drain,
         signal.SIGHUP: daemon.reload,
     }.items():
         daemon.loop.add_signal_handler(number, act)
+
+
+def run(daemon: Daemon) -> None:
+    """Runs the loop to its end."""
     daemon.hooks.on_load = lambda fine: say({"hooks": fine})
     if folder := os.environ.get(DEAF):
         if daemon.set_up_requests.recovery:
--- a/tests/front/test_daemon.py
+++ b/tests/front/test_daemon.py
@@ -270,6 +270,31 @@
     assert [e for e in events if e != "recovery phase entered"][0] == "serving" and "stopping" in events
 
 
+# Sends itself a signal in the moment in which it has said that it serves.
+SIGNAL_WHEN_SERVING = """
+import os, signal, sys
+from lemonhall import cli
+from lemonhall.cli import serve
+say, NAME = serve.say, sys.argv.pop()
+def say_and_signal(what):
+    say(what)
+    if "serving" in what:
+        os.kill(os.getpid(), signal.Signals[NAME])
+serve.say = say_and_signal
+cli.main()
+"""
+
+
+@pytest.mark.parametrize("name", ["SIGTERM", "SIGINT", "SIGUSR1"])
+def test_a_signal_in_the_moment_of_serving_ends_the_process_in_order(tmp_path: Path, name: str) -> None:
+    """KNOWN-RED 3: the handlers were set after `serving` was printed, and SIGTERM ended it with -15."""
+    settings = tmp_path / "front.kdl"
+    settings.write_text(TERMS + 'front "f0" hall="hall-a" listen="127.0.0.1:0" {\n}\n')
+    words = [sys.executable, "-c", SIGNAL_WHEN_SERVING, "serve", str(settings), name]
+    child = subprocess.run(words, capture_output=True, text=True, timeout=60, check=False)
+    assert child.returncode == 0 and '"serving"' in child.stdout, child.stderr
+
+
 def test_a_full_disk_at_the_start_affects_paid_sessions_only(tmp_path: Path) -> None:
     """If a store exists. If none can be created, the start fails and names the folder."""
     front = f'front "f0" hall="hall-a" listen="127.0.0.1:0" {{\n store "{tmp_path / "kept"}"\n}}\n'
