Front node: one connection to a media server, and one from viewers, each in a file of its own

Change: ServerConnection goes to server_connection.py, ViewerConnection with its budget and Trust to viewer_connection.py; what each needs of its owner stands as a protocol beside it. Text moved, nothing else.

--- a/lemonhall/front/node/sessions.py
+++ b/lemonhall/front/node/sessions.py
@@ -18,9 +18,11 @@
 from lemonhall import interface
 from lemonhall.front.decider.bridge import Bridge
 from lemonhall.front.node.liveness import NEVER
-from lemonhall.front.node.servers import MediaServer, MediaServers, ServerConnection
+from lemonhall.front.node.server_connection import ServerConnection
+from lemonhall.front.node.servers import MediaServer, MediaServers
 from lemonhall.front.node.session import Attempt, Session
-from lemonhall.front.node.viewers import ViewerConnection, ViewerConnections
+from lemonhall.front.node.viewer_connection import ViewerConnection
+from lemonhall.front.node.viewers import ViewerConnections
 from lemonhall.interface import Outcome
 from lemonhall.loop import Loop
 from lemonhall.node import bounds, messages
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -20,7 +20,7 @@
 from hypothesis import strategies as st
 
 from lemonhall import interface
-from lemonhall.front.node.servers import ServerConnection
+from lemonhall.front.node.server_connection import ServerConnection
 from lemonhall.front.node.session import Attempt
 from tests.node.world import Peer, ReorderingSelector, World, make_settings
 
--- a/tests/node/test_floods.py
+++ b/tests/node/test_floods.py
@@ -8,7 +8,7 @@
 import json
 from collections.abc import Callable
 
-from lemonhall.front.node.viewers import Trust
+from lemonhall.front.node.viewer_connection import Trust
 from lemonhall.node import bounds
 from tests.node.test_growth import table_sizes
 from tests.node.test_rare import note
--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -7,7 +7,7 @@
 
 import socket
 
-from lemonhall.front.node.viewers import ViewerConnection
+from lemonhall.front.node.viewer_connection import ViewerConnection
 from lemonhall.node.causes import REFUSED
 from tests.node.test_rare import down, up
 from tests.node.world import Peer, World
--- a/tests/node/test_neighbours.py
+++ b/tests/node/test_neighbours.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lemonhall.front.node.viewers import MAX_INVALID_MESSAGES
+from lemonhall.front.node.viewer_connection import MAX_INVALID_MESSAGES
 from lemonhall.node import bounds
 from lemonhall.node.causes import FAILED
 from tests.node.world import World
