A lingering close reads and discards also where reading was paused

What callers would see: a connection that is closed while messages of it wait for the next pass ended with a reset a second later, since its input was no longer read; a reset may destroy the last answers.

Cause: reading stays paused while messages wait, and close_lingering kept the pause. Found by reading the change that brought the pause.

Measured: the new test fails on the commit before and passes; test_floods and tests/loop pass.

--- a/lemonhall/loop/stream.py
+++ b/lemonhall/loop/stream.py
@@ -263,6 +263,7 @@
             self._close("local")
             return
         self.closing, self.discarded_bytes = True, 0
+        self.reading_paused = False
         self._timer = self.loop.call_later(within_s, self._close, "local")
         if self.send_queue:
             self._update_watch()
--- a/tests/node/test_floods.py
+++ b/tests/node/test_floods.py
@@ -49,6 +49,17 @@
     assert 0 < most <= bounds.MAX_MESSAGES_PER_PASS
 
 
+def test_a_connection_that_is_closed_while_its_messages_wait_is_read_to_the_end(world: World) -> None:
+    """Input that is unread at the close makes a reset of it, which may destroy what was written before."""
+    flooder = world.connect_viewer()
+    connection = list(world.node.viewers.connections)[-1]
+    heartbeats = 2 * bounds.MAX_CONNECTION_MESSAGES_PER_PASS
+    flooder.send_data(HEARTBEAT * heartbeats + b"noise\n" + HEARTBEAT * 3000)
+    world.run_until(lambda: connection.stream.discarded_bytes)
+    world.run_until(lambda: flooder.closed)
+    assert len(flooder.received) == heartbeats
+
+
 def test_a_set_up_is_sent_on_while_a_flood_is_under_way(world: World) -> None:
     flooder = world.connect_viewer()
     for _ in range(8):
