A machine that was away has to show that it still holds its sessions

Cause: a connection that did not come up was forgotten with the next that did, and any message ended what was left of the doubt.

Change: a connection that does not come up in time raises a doubt, as a reset does: 7.5 s after the last sign of life before it, sessions set up before are over unless data came on an older connection or a message on one of them.

--- a/lemonhall/front/node/liveness.py
+++ b/lemonhall/front/node/liveness.py
@@ -38,6 +38,15 @@
     delay_s: float
 
 
+@dataclass(frozen=True)
+class Doubt:
+    """Another process may have taken the address: sessions that were set up before are over, if nothing
+    shows until `decide_at` that the process is the same."""
+
+    since: float
+    decide_at: float
+
+
 class Liveness:
     """What one server has shown. Times are seconds of the loop's clock."""
 
@@ -51,22 +60,27 @@
         self.last_message_at = NEVER  # on an established session, or when the first session was established
         self.last_sign_of_life_at = NEVER  # any data, a connection that came up or that the server ended
         self.connected_at = self.connect_failed_at = NEVER
-        # When the last connection was reset, oldest first. Another process may have taken the address each
-        # time, so sessions set up before are in doubt until a message on one of them arrives.
-        self.resets: list[float] = []
+        self.doubts: list[Doubt] = []  # oldest first
 
     @property
-    def reset_at(self) -> float | None:
-        """The oldest reset that leaves sessions in doubt."""
-        return self.resets[0] if self.resets else None
+    def doubt_since(self) -> float | None:
+        return self.doubts[0].since if self.doubts else None
 
     def on_message(self, now: float, set_up_at: float = NEVER) -> None:
         """A message on a session that was set up at a time: the process is the same since then.
 
-        It says nothing about sessions that were set up before a reset that is older than the session.
+        It says nothing about sessions that were set up before a doubt that is older than the session.
         """
         self.last_message_at = self.last_sign_of_life_at = now
-        self.resets = [reset_at for reset_at in self.resets if reset_at < set_up_at]
+        self._end_doubts_after(set_up_at)
+
+    def on_data(self, now: float, connection_up_at: float) -> None:
+        """Data on a connection that came up at a time: the process is the same since then."""
+        self.last_sign_of_life_at = now
+        self._end_doubts_after(connection_up_at)
+
+    def _end_doubts_after(self, moment: float) -> None:
+        self.doubts = [doubt for doubt in self.doubts if doubt.since <= moment]
 
     def on_sign_of_life(self, now: float) -> None:
         """The machine is there; whether it still holds the sessions is open."""
@@ -78,13 +92,22 @@
     def on_connect_failed(self, now: float) -> None:
         self.connect_failed_at = now
 
+    def on_connect_timeout(self, now: float) -> None:
+        """The machine may have vanished after its last sign of life, and come back with another process."""
+        if not self.doubts:
+            self.doubts.append(Doubt(now, self.last_sign_of_life_at + bounds.CUT_OFF_DECIDED_AFTER_S))
+
     def on_last_connection_reset(self, now: float) -> None:
         """The process may have ended at this moment. Later resets do not postpone the decision."""
-        self.resets.append(now)
-
-    def on_silence_decided(self) -> None:
-        """The sessions that the oldest reset left in doubt were taken for over."""
-        self.resets = self.resets[1:]
+        self.doubts.append(Doubt(now, now + bounds.SERVER_LOST_AFTER_S))
+
+    def pop_due_doubt(self, now: float) -> Doubt | None:
+        """Removes and returns a doubt that has to be decided."""
+        for doubt in self.doubts:
+            if doubt.decide_at < now:
+                self.doubts.remove(doubt)
+                return doubt
+        return None
 
     def is_probe_due(self, now: float) -> bool:
         """Whether a new connection should show that the machine is alive."""
@@ -93,16 +116,16 @@
     def presumed_loss(self, now: float, has_address: bool) -> LossReason | None:
         """Why the sessions have to be taken for over, if so.
 
-        A machine that vanished sends nothing and accepts no connection. If the connections were reset and
-        only a new one came up, another process may have taken the address: it knows none of the sessions that
-        were set up before the oldest reset.
+        A machine that vanished sends nothing and accepts no connection. If the connections were reset, or one
+        did not come up, and a new one did, another process may have taken the address: it knows none of the
+        sessions that were set up before.
         """
         latest = now - bounds.SERVER_LOST_AFTER_S
         if not has_address:
             return LossReason.UNLISTED if self.last_message_at < latest else None
         if self.connect_failed_at > self.connected_at and self.last_sign_of_life_at < latest:
             return LossReason.UNREACHABLE
-        if self.silence_counts and self.reset_at is not None and self.reset_at < latest:
+        if self.silence_counts and any(doubt.decide_at < now for doubt in self.doubts):
             return LossReason.SILENT
         return None
 
@@ -111,7 +134,7 @@
         moments = {
             "message_age_s": self.last_message_at,
             "sign_of_life_age_s": self.last_sign_of_life_at,
-            "reset_age_s": self.reset_at,
+            "doubt_age_s": self.doubt_since,
             "connected_age_s": self.connected_at,
             "connect_failed_age_s": self.connect_failed_at,
         }
--- a/lemonhall/front/node/server_connection.py
+++ b/lemonhall/front/node/server_connection.py
@@ -50,6 +50,7 @@
     def __init__(self, server: ConnectedServerProtocol) -> None:
         self.server, self.line_reader, self.address = server, LineReader(), server.address
         self.connected = False
+        self.up_at = 0.0  # when it came up
         self.open_attempts: dict[str, Attempt] = {}
         # Releases sent here recently: when, of which session, the line.
         self.recent_releases: deque[tuple[float, str, bytes]] = deque(maxlen=bounds.MAX_RECENT_RELEASES)
@@ -69,7 +70,7 @@
 
     def on_connected(self) -> None:
         self.connected = True
-        self.last_used_at = self.server.owner.loop.now()
+        self.last_used_at = self.up_at = self.server.owner.loop.now()
         self.server.on_connection_up(self)
 
     def on_backlog_full(self) -> None:
@@ -80,7 +81,7 @@
         owner = self.server.owner
         self.last_used_at = self.last_data_at = owner.loop.now()
         self.unanswered_since, self.unresponsive = None, False
-        self.server.liveness.on_sign_of_life(self.last_used_at)
+        self.server.liveness.on_data(self.last_data_at, self.up_at)
         self.line_reader.feed(view)
         try:
             while self.stream.open and (line := self.line_reader.next_line()) is not None:
--- a/lemonhall/front/node/servers.py
+++ b/lemonhall/front/node/servers.py
@@ -199,6 +199,8 @@
 
     def on_connect_failed(self, now: float, reason: str) -> None:
         self.liveness.on_connect_failed(now)
+        if reason == "timeout" and self.established_sessions:
+            self.liveness.on_connect_timeout(now)
         self.send_waiting_attempts()
         if not any(other.connected and other.address == self.address for other in self.connections):
             self.fail_waiting_attempts()  # else they wait for room on the others until they time out
@@ -371,12 +373,11 @@
             self.lose_presumed_sessions(reason)
 
     def lose_presumed_sessions(self, reason: LossReason) -> None:
-        reset_at = self.liveness.reset_at
-        if reason is LossReason.SILENT and reset_at is not None:
-            self.lose_sessions(reason, reset_at)
-            self.liveness.on_silence_decided()
-        else:
+        """Those in doubt where a new process may have the address, else all."""
+        if reason is not LossReason.SILENT:
             self.lose_sessions(reason)
+        elif doubt := self.liveness.pop_due_doubt(self.owner.loop.now()):
+            self.lose_sessions(reason, doubt.since)
 
     def sweep_pending_commands(self, now: float) -> None:
         """Tries to connect for the commands that wait, with back-off.
--- a/lemonhall/node/bounds.py
+++ b/lemonhall/node/bounds.py
@@ -45,6 +45,7 @@
 )
 MIN_SILENCE_S = 4.0  # of a server with established sessions, before a new connection probes it
 SERVER_LOST_AFTER_S = 6.5  # without evidence that its sessions go on: they are over (8 s by the protocol)
+CUT_OFF_DECIDED_AFTER_S = 7.5  # after the last sign of life of a machine that came back: 8 s less a sweep
 MAX_NOTE_INTERVAL_S = SERVER_LOST_AFTER_S - 1.0  # of a server whose silence on a new connection counts
 RECONNECT_INTERVAL_S = 0.3  # to a server that has established sessions
 MAX_RECONNECT_INTERVAL_S = 4.0  # after back-off, for commands that wait: released within 8 s of the repair
--- a/tests/node/test_liveness.py
+++ b/tests/node/test_liveness.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from lemonhall.front.node.liveness import Liveness, LossReason, NoteSchedule
+from lemonhall.front.node.liveness import Doubt, Liveness, LossReason, NoteSchedule
 from lemonhall.loop.event_loop import READ
 from lemonhall.node import bounds
 from lemonhall.node.causes import GIVEN_UP
@@ -323,12 +323,40 @@
     for reset_at in (104.0, 107.0):
         state.on_last_connection_reset(reset_at)
     state.on_message(108.0, set_up_at=107.5)
-    assert state.resets == [104.0, 107.0]
+    assert [doubt.since for doubt in state.doubts] == [104.0, 107.0]
     state.on_message(109.0, set_up_at=105.0)  # the process is the same since 105
-    assert state.resets == [104.0]
+    assert [doubt.since for doubt in state.doubts] == [104.0]
     lost_at = 104.0 + bounds.SERVER_LOST_AFTER_S
     assert state.presumed_loss(lost_at + 0.01, has_address=True) is LossReason.SILENT
-    state.on_silence_decided()
+    assert state.pop_due_doubt(lost_at + 0.01) == Doubt(104.0, lost_at)
+    assert state.presumed_loss(200.0, has_address=True) is None
+
+
+def test_a_machine_that_was_away_and_is_back_has_to_show_that_it_holds_its_sessions() -> None:
+    """review/10: a connection that came up cleared it, though the process behind it was a new one."""
+    state = liveness()
+    state.on_data(105.0, connection_up_at=100.0)
+    state.on_connect_failed(109.7)
+    state.on_connect_timeout(109.7)
+    state.on_connected(110.2)
+    state.on_message(110.5, set_up_at=110.3)
+    state.on_data(110.6, connection_up_at=110.2)
+    lost_at = 105.0 + bounds.CUT_OFF_DECIDED_AFTER_S
+    assert state.presumed_loss(lost_at - 0.01, has_address=True) is None
+    assert state.presumed_loss(lost_at + 0.01, has_address=True) is LossReason.SILENT
+    assert state.pop_due_doubt(lost_at + 0.01) == Doubt(109.7, lost_at)
+
+
+@pytest.mark.parametrize("shown_by", ["old connection", "old session"])
+def test_a_connection_that_never_came_up_says_nothing_of_a_machine_that_goes_on(shown_by: str) -> None:
+    """The other way: one in fifty connections to media servers never comes up."""
+    state = liveness()
+    state.on_connect_timeout(104.0)
+    state.on_connected(104.5)
+    if shown_by == "old connection":
+        state.on_data(105.0, connection_up_at=100.0)
+    else:
+        state.on_message(105.0, set_up_at=103.0)
     assert state.presumed_loss(200.0, has_address=True) is None
 
 
