--- a/lemonhall/front/node/viewer_connection.py
+++ b/lemonhall/front/node/viewer_connection.py
@@ -74,6 +74,7 @@
         self.owner, self.line_reader = owner, LineReader()
         self.budget = PassBudget(owner.loop, bounds.MAX_CONNECTION_MESSAGES_PER_PASS)
         self.deferred = False  # messages that were read wait for the next pass
+        self.was_handled = False  # any line that came here
         self.left = False  # the viewer has closed it; what it sent before is still handled, but no set-up
         self.open_sessions: dict[str, Session] = {}  # set-ups that must still be answered here
         self.established_sessions: dict[str, Session] = {}  # that were set up or handed over here
@@ -101,12 +102,14 @@
         try:
             while self.usable or self.left:
                 if self.is_budget_spent and self.line_reader.has_line:
+                    self.partial_since = 0.0  # this message is whole
                     self.defer()
                     return
                 line = self.line_reader.next_line()
                 if line is None:
                     break
                 self.partial_since = 0.0  # what follows is another message
+                self.was_handled = True
                 self.budget.count_message(len(line))
                 self.owner.budget.count_message(len(line))
                 if line.strip():
--- a/lemonhall/front/node/viewers.py
+++ b/lemonhall/front/node/viewers.py
@@ -206,6 +206,7 @@
             )
             silent = (
                 not connection.sent_valid_message
+                and (connection.was_handled or not connection.deferred)  # else its first message waits
                 and now - connection.connected_at > bounds.NO_MESSAGE_TIMEOUT_S
             )
             carries_sessions = connection.open_sessions or connection.established_sessions
--- a/tests/node/test_floods.py
+++ b/tests/node/test_floods.py
@@ -8,7 +8,9 @@
 import json
 from collections.abc import Callable
 
-from lemonhall.front.node.viewer_connection import Trust
+import pytest
+
+from lemonhall.front.node.viewer_connection import PassBudget, Trust
 from lemonhall.node import bounds
 from tests.node.test_growth import table_sizes
 from tests.node.test_rare import note
@@ -17,6 +19,10 @@
 HEARTBEAT = b'{"t":"hb","f":{}}\n'
 
 
+class SpentBudget(PassBudget):
+    is_spent = True  # type: ignore[assignment]
+
+
 def run_pass(world: World) -> None:
     world.loop.run_once(0.0)
     for viewer in world.viewers:
@@ -60,6 +66,24 @@
     assert len(flooder.received) == heartbeats
 
 
+@pytest.mark.parametrize("begun", ["in one piece", "in two pieces"])
+def test_a_whole_message_that_waits_is_not_taken_for_silence(world: World, begun: str) -> None:
+    """Its connection was closed as silent or half-written although the message had come whole in time."""
+    message = json.dumps(world.make_set_up(left="4000")).encode() + b"\n"
+    viewer = world.connect_viewer()
+    if begun == "in two pieces":
+        viewer.send_data(message[:50])
+        world.pump()
+        message = message[50:]
+    viewers = world.node.viewers
+    budget, viewers.budget = viewers.budget, SpentBudget(world.loop, 0)  # others take all of it
+    viewer.send_data(message)
+    world.advance(bounds.NO_MESSAGE_TIMEOUT_S + 0.5)
+    assert not viewer.closed
+    viewers.budget = budget
+    world.wait_for_set_up(f"{world.ref_count:016x}")
+
+
 def test_a_set_up_is_sent_on_while_a_flood_is_under_way(world: World) -> None:
     flooder = world.connect_viewer()
     for _ in range(8):
