Of the viewers whose messages wait, the one that used least has the next turn

Cause: input of connections that were not put off came first and took the budget of each pass, so that what waited was hardly handled.

Change: while any wait, what arrives waits with them; the turn goes by what was handled of late, halved each second.

--- a/lemonhall/front/node/viewer_connection.py
+++ b/lemonhall/front/node/viewer_connection.py
@@ -37,10 +37,10 @@
     def is_spent(self) -> bool:
         return self.counted_pass == self.loop.pass_count and self.handled >= self.limit
 
-    def count_message(self, size: int) -> None:
+    def count(self, units: int) -> None:
         if self.counted_pass != self.loop.pass_count:
             self.counted_pass, self.handled = self.loop.pass_count, 0
-        self.handled += 1 + size // bounds.MESSAGE_UNIT_BYTES
+        self.handled += units
 
 
 class ViewersProtocol(Protocol):
@@ -51,6 +51,7 @@
     counts: Counter[str]
     log_event: Callable[..., None]
     budget: PassBudget
+    waiting: dict[ViewerConnection, None]
     is_serving: Callable[[], bool]
     is_known_ref: Callable[[str], bool]
     on_set_up: Callable[[ViewerConnection, NewSetUp], bool]
@@ -60,6 +61,8 @@
     @property
     def max_read_ahead_bytes(self) -> int: ...
 
+    def let_wait(self, connection: ViewerConnection) -> None: ...
+
     def on_connection_closed(self, connection: ViewerConnection) -> None: ...
 
 
@@ -74,6 +77,7 @@
         self.owner, self.line_reader = owner, LineReader()
         self.budget = PassBudget(owner.loop, bounds.MAX_CONNECTION_MESSAGES_PER_PASS)
         self.deferred = False  # messages that were read wait for the next pass
+        self.units, self.counted_at = 0.0, owner.loop.now()  # see `recent_units`
         self.was_handled = False  # any line that came here
         self.left = False  # the viewer has closed it; what it sent before is still handled, but no set-up
         self.open_sessions: dict[str, Session] = {}  # set-ups that must still be answered here
@@ -93,7 +97,10 @@
     def on_data(self, view: memoryview) -> None:
         self.last_used_at = self.owner.loop.now()
         self.line_reader.feed(view)
-        self.handle_lines()
+        if self.owner.waiting and self.line_reader.has_line:
+            self.defer()  # others wait for their turn
+        else:
+            self.handle_lines()
 
     def handle_lines(self) -> None:
         """Handles the messages that were read, or as many as the budgets of the pass allow."""
@@ -102,7 +109,6 @@
         try:
             while self.usable or self.left:
                 if self.is_budget_spent and self.line_reader.has_line:
-                    self.partial_since = 0.0  # this message is whole
                     self.defer()
                     return
                 line = self.line_reader.next_line()
@@ -110,8 +116,7 @@
                     break
                 self.partial_since = 0.0  # what follows is another message
                 self.was_handled = True
-                self.budget.count_message(len(line))
-                self.owner.budget.count_message(len(line))
+                self.count_message(1 + len(line) // bounds.MESSAGE_UNIT_BYTES)
                 if line.strip():
                     self.handle_line(line)
         except LineTooLong:
@@ -127,11 +132,22 @@
     def is_budget_spent(self) -> bool:
         return self.budget.is_spent or self.owner.budget.is_spent
 
+    def count_message(self, units: int) -> None:
+        self.budget.count(units)
+        self.owner.budget.count(units)
+        now = self.owner.loop.now()
+        self.units, self.counted_at = self.recent_units(now) + units, now
+
+    def recent_units(self, now: float) -> float:
+        """What was handled of late, halved with each second: who used least has the next turn."""
+        return self.units * float(0.5 ** (now - self.counted_at))
+
     def defer(self) -> None:
+        self.partial_since = 0.0  # the message that waits is whole
         self.stream.pause_reading()
         if not self.deferred:
             self.deferred = True
-            self.owner.loop.call_next_pass(self.resume)
+            self.owner.let_wait(self)
 
     def resume(self) -> None:
         self.deferred = False
--- a/lemonhall/front/node/viewers.py
+++ b/lemonhall/front/node/viewers.py
@@ -56,6 +56,7 @@
         self.max_backlog_bytes = max_backlog_bytes  # unread by viewers, of all connections together
         self.connections: dict[ViewerConnection, None] = {}
         self.budget = PassBudget(loop, bounds.MAX_MESSAGES_PER_PASS)
+        self.waiting: dict[ViewerConnection, None] = {}  # whose messages wait for the next pass
         self.waiting_releases: deque[WaitingRelease] = deque(maxlen=bounds.MAX_WAITING_RELEASES)
         self.listener: socket.socket | None = None
         self.is_serving: Callable[[], bool] = lambda: True
@@ -64,6 +65,21 @@
         self.on_down: Callable[[ViewerConnection, Down], None]
         self.on_disconnected: Callable[[ViewerConnection], None]
 
+    def let_wait(self, connection: ViewerConnection) -> None:
+        if not self.waiting:
+            self.loop.call_next_pass(self.resume_waiting)
+        self.waiting[connection] = None
+
+    def resume_waiting(self) -> None:
+        """Handles what waits, of the connections that used least first, as far as the budget goes."""
+        now = self.loop.now()
+        waiting, self.waiting = self.waiting, {}
+        for connection in sorted(waiting, key=lambda connection: connection.recent_units(now)):
+            if self.budget.is_spent:
+                self.let_wait(connection)
+            else:
+                connection.resume()
+
     @property
     def max_read_ahead_bytes(self) -> int:
         """How much of one connection's input may wait to be handled, so that its close is seen behind it."""
--- a/tests/node/test_floods.py
+++ b/tests/node/test_floods.py
@@ -84,6 +84,24 @@
     world.wait_for_set_up(f"{world.ref_count:016x}")
 
 
+def test_the_connection_that_used_least_has_the_next_turn(world: World) -> None:
+    """Connections that were not put off came first, and what waited was not handled while they kept on."""
+    fields = {f"a{n}": 1 for n in range(1300)}
+    line = json.dumps({"t": "hb", "f": fields}, separators=(",", ":")).encode() + b"\n"
+    flooders = [world.connect_viewer() for _ in range(40)]
+    for flooder in flooders:
+        flooder.send_data(line * 4)
+    run_pass(world)
+    run_pass(world)
+    assert len(world.node.viewers.waiting) > 20
+    ref = world.request_set_up()["ref"]
+    run_pass(world)
+    run_pass(world)
+    assert ref in world.node.sessions.by_ref  # though as many wait as before
+    assert len(world.node.viewers.waiting) > 20
+    world.run_until(lambda: all(len(flooder.received) == 4 for flooder in flooders))
+
+
 def test_a_set_up_is_sent_on_while_a_flood_is_under_way(world: World) -> None:
     flooder = world.connect_viewer()
     for _ in range(8):
